--- /dev/null
+++ b/src/connection/framing.hpp
@@ -0,0 +1,71 @@
+// framing: where a message begins and ends. Heads are checked strictly here before Poco reads
+// them; bodies are cut out of the byte stream. No sockets.
+#pragma once
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace merlin::saddle {
+
+enum class BodyKind : std::uint8_t { none, length, chunked, untilClose };
+
+struct BodyPlan {
+  BodyKind kind = BodyKind::none;
+  std::uint64_t length = 0;
+};
+
+enum class HeadState : std::uint8_t { incomplete, complete, tooLarge, bad };
+
+// Looks for a whole head at the front of `bytes`; `size` gets its length with the blank line.
+HeadState findHead(std::string_view bytes, std::size_t limit, std::size_t& size);
+
+// False where two readers could see two different messages, or none.
+bool strictHead(std::string_view head, bool request);
+
+// Both want a head that passed strictHead; nullopt where Poco refuses it.
+std::optional<BodyPlan> readRequestHead(std::string_view head, Poco::Net::HTTPRequest& request);
+std::optional<BodyPlan> readResponseHead(std::string_view head, bool toHead,
+                                         Poco::Net::HTTPResponse& response);
+
+// Takes a body out of a byte stream.
+class BodyReader {
+ public:
+  enum class State : std::uint8_t { more, done, bad };
+  explicit BodyReader(BodyPlan plan);
+  BodyReader() : BodyReader(BodyPlan{}) {}
+  // Moves body bytes from the front of `in` to the end of `out`.
+  State feed(std::string& in, std::string& out);
+  [[nodiscard]] State state() const { return state_; }
+  // The peer closed: is that the end of the body?
+  [[nodiscard]] bool endsByClose() const { return plan_.kind == BodyKind::untilClose; }
+
+ private:
+  State chunks(std::string& in, std::string& out);
+  enum class Chunk : std::uint8_t { size, data, dataEnd, trailer };
+  BodyPlan plan_;
+  std::uint64_t left_ = 0;
+  State state_ = State::more;
+  Chunk at_ = Chunk::size;
+};
+
+// Body bytes as they go onto the wire.
+void appendBody(BodyKind kind, std::string_view bytes, std::string& wire);
+void appendBodyEnd(BodyKind kind, std::string& wire);
+
+// Headers that concern one connection only, and `own` prefixes of ours, are left out.
+using DropHeader = bool (*)(const std::string& name);
+void copyHeaders(const Poco::Net::MessageHeader& from, Poco::Net::MessageHeader& to,
+                 DropHeader drop);
+
+std::string wireHead(const Poco::Net::HTTPRequest& request);
+std::string wireHead(const Poco::Net::HTTPResponse& response);
+
+bool wantsClose(const Poco::Net::HTTPMessage& message);
+void planHeaders(const BodyPlan& plan, Poco::Net::HTTPMessage& message);
+
+}  // namespace merlin::saddle
--- /dev/null
+++ b/src/process/council.cpp
@@ -0,0 +1,231 @@
+#include "process/council.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace merlin::hut {
+
+using cairn::Ask;
+using cairn::Climber;
+using cairn::Ledge;
+using cairn::Reply;
+using cairn::Value;
+using nlohmann::json;
+
+namespace {
+constexpr Span kMessageLimit = std::chrono::milliseconds(450);
+constexpr Span kRepairAfter = std::chrono::milliseconds(250);
+constexpr Span kRejoinEvery = std::chrono::milliseconds(250);
+constexpr Span kOwnClimb = std::chrono::milliseconds(900);
+constexpr std::size_t kFewestVoters = 3;
+}  // namespace
+
+struct Council::Climb {
+  Climb(NodeId self, Value basis, Climber::Change change, std::uint64_t seed)
+      : climber(std::move(self), std::move(basis), std::move(change), seed) {}
+  Climber climber;
+  Told told;
+  Bell::TimerId timer = 0;
+};
+
+Council::Council(Parts parts, std::uint64_t seed) : parts_(std::move(parts)), random_(seed) {
+  const auto& settings = parts_.settings;
+  if (settings.bootstrap) {
+    known_.voters = settings.seeds;
+    std::sort(known_.voters.begin(), known_.voters.end());
+  }
+  if (parts_.cellar == nullptr) return;
+  if (const auto saved = parts_.cellar->load()) {
+    const auto parsed = json::parse(*saved, nullptr, false);
+    if (!parsed.is_discarded()) ledge_ = Ledge::restore(settings.self, parsed);
+  }
+  if (ledge_) {
+    parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
+    // Only the voters are taken from it for now: whether its value was chosen is not known yet.
+    if (known_.voters.empty() || known_.epoch < ledge_->value().epoch) {
+      known_.voters = ledge_->value().voters;
+      known_.before = ledge_->value().before;
+      known_.epoch = ledge_->value().epoch;
+    }
+  } else {
+    ledge_.emplace(settings.self, Life{random_() >> 1}, settings.bootstrap);
+    parts_.log(settings.bootstrap ? "first start, empty state"
+                                  : "empty disk, the other voters are read before voting");
+  }
+  parts_.cellar->start();
+}
+
+Value Council::basis() const { return known_; }
+
+void Council::learn(const Value& value) {
+  if (value.sequence <= known_.sequence) return;
+  known_ = value;
+  parts_.chosen(known_);
+}
+
+// The reply leaves only after everything it rests on is on disk.
+void Council::ask(const Ask& ask, std::function<void(std::optional<Reply>)> answer) {
+  if (!ledge_) {
+    answer(std::nullopt);
+    return;
+  }
+  auto out = ledge_->ask(ask);
+  const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
+    if (!ok) {
+      dirty_ = true;
+      parts_.log("the disk refuses: " + parts_.cellar->problem());
+      answer(std::nullopt);
+      return;
+    }
+    answer(reply);
+  };
+  if (out.sync || dirty_) {
+    dirty_ = false;
+    parts_.cellar->save(ledge_->save().dump(), done);
+  } else {
+    parts_.cellar->after(done);
+  }
+}
+
+void Council::climb(Climber::Change change, Span limit, Told told) {
+  const auto base = basis();
+  if (base.voters.empty()) {
+    told(Climber::Result{});
+    return;
+  }
+  auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_());
+  climb->told = std::move(told);
+  carry(climb, climb->climber.start(parts_.bell.now(), limit));
+}
+
+void Council::carry(const std::shared_ptr<Climb>& climb, std::vector<Climber::Send> sends) {
+  for (auto& send : sends) {
+    const auto back = [this, climb, to = send.to, round = send.round](std::optional<Reply> reply) {
+      if (!reply || climb->climber.result()) return;
+      carry(climb, climb->climber.reply(to, round, *reply, parts_.bell.now()));
+    };
+    if (send.to == parts_.settings.self) {
+      ask(send.ask, back);
+      continue;
+    }
+    parts_.wire.post(send.to, "/register", toJson(send.ask), kMessageLimit,
+                     [back](std::optional<json> answer) {
+                       if (!answer) return;
+                       try {
+                         back(cairn::replyFrom(*answer));
+                       } catch (const std::exception&) {
+                         // A foreign answer counts as none.
+                       }
+                     });
+  }
+  settle(climb);
+}
+
+void Council::settle(const std::shared_ptr<Climb>& climb) {
+  if (const auto& result = climb->climber.result()) {
+    if (!climb->told) return;
+    parts_.bell.cancel(climb->timer);
+    const auto told = std::move(climb->told);
+    climb->told = nullptr;
+    const auto copy = *result;
+    if (copy.known) learn(copy.chosen);
+    told(copy);
+    return;
+  }
+  parts_.bell.cancel(climb->timer);
+  climb->timer = parts_.bell.after(climb->climber.wake() - parts_.bell.now(), [this, climb] {
+    climb->timer = 0;
+    carry(climb, climb->climber.tick(parts_.bell.now()));
+  });
+}
+
+void Council::tick() {
+  if (!ledge_) return;
+  if (!ledge_->awake()) {
+    rejoin();
+    return;
+  }
+  repair();
+}
+
+void Council::rejoin() {
+  const Instant now = parts_.bell.now();
+  if (now < rejoinAt_) return;
+  rejoinAt_ = now + kRejoinEvery;
+  const auto question = ledge_->rejoinAsk();
+  std::set<NodeId> others(known_.voters.begin(), known_.voters.end());
+  others.insert(known_.before.begin(), known_.before.end());
+  others.erase(parts_.settings.self);
+  for (const auto& other : others) {
+    parts_.wire.post(other, "/register", toJson(*question), kMessageLimit,
+                     [this, other](std::optional<json> answer) {
+                       if (!answer || ledge_->awake()) return;
+                       try {
+                         const auto reply = cairn::replyFrom(*answer);
+                         if (!ledge_->rejoinReply(other, reply, known_)) return;
+                       } catch (const std::exception&) {
+                         return;
+                       }
+                       parts_.log("promises read from the other voters, voting again");
+                       dirty_ = true;  // saved with the first answer that rests on it
+                     });
+  }
+}
+
+// A value accepted here whose fate nobody has told: find out, and finish it.
+void Council::repair() {
+  const Instant now = parts_.bell.now();
+  if (ledge_->value().sequence <= known_.sequence) {
+    aheadSince_.reset();
+    return;
+  }
+  if (!aheadSince_) aheadSince_ = now;
+  if (repairing_ || now - *aheadSince_ < kRepairAfter) return;
+  repairing_ = true;
+  climb([](const Value&, Value&) { return Climber::Verdict{}; }, kOwnClimb,
+        [this](const Climber::Result&) {
+          repairing_ = false;
+          aheadSince_ = parts_.bell.now();
+        });
+}
+
+void Council::keepVoters(const std::set<NodeId>& live, const std::set<NodeId>& lost) {
+  if (changingVoters_ || known_.voters.empty()) return;
+  std::vector<NodeId> voters = known_.voters;
+  if (known_.before.empty()) {
+    const auto newcomer = std::find_if(live.begin(), live.end(),
+                                       [&](const NodeId& node) { return !known_.isVoter(node); });
+    const auto dead = std::find_if(voters.begin(), voters.end(),
+                                   [&](const NodeId& node) { return lost.contains(node); });
+    if (newcomer != live.end()) {
+      voters.push_back(*newcomer);
+      std::sort(voters.begin(), voters.end());
+    } else if (dead != voters.end() && voters.size() > kFewestVoters) {
+      voters.erase(dead);
+    } else {
+      return;
+    }
+  }
+  changingVoters_ = true;
+  climb(
+      [epoch = known_.epoch, voters](const Value& current, Value& next) {
+        Climber::Verdict verdict;
+        if (current.epoch != epoch) return verdict;  // somebody else was faster
+        verdict.kind = Climber::Verdict::Kind::put;
+        next.epoch = current.epoch + 1;
+        // Two steps: first both sets must agree, then the new one stands alone.
+        next.before = current.before.empty() ? current.voters : std::vector<NodeId>{};
+        if (current.before.empty()) next.voters = voters;
+        return verdict;
+      },
+      kOwnClimb,
+      [this](const Climber::Result& result) {
+        changingVoters_ = false;
+        if (result.ok && result.known) {
+          parts_.log("voters: " + std::to_string(result.chosen.voters.size()) + ", epoch " +
+                     std::to_string(result.chosen.epoch));
+        }
+      });
+}
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/council.hpp
@@ -0,0 +1,68 @@
+// council: this node's part in the register: it answers as a voter, climbs for changes and reads,
+// wakes a voter that lost its disk, finishes what others left half done, and keeps the voters.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "process/bell.hpp"
+#include "process/cellar.hpp"
+#include "process/settings.hpp"
+#include "process/wire.hpp"
+#include "version/register.hpp"
+
+namespace merlin::hut {
+
+class Council {
+ public:
+  struct Parts {
+    Bell& bell;
+    Wire& wire;
+    const Settings& settings;
+    Cellar* cellar = nullptr;  // null: this node holds no state
+    std::function<void(const cairn::Value&)> chosen;
+    std::function<void(const std::string&)> log;
+  };
+  using Told = std::function<void(const cairn::Climber::Result&)>;
+
+  Council(Parts parts, std::uint64_t seed);
+
+  void ask(const cairn::Ask& ask, std::function<void(std::optional<cairn::Reply>)> answer);
+  void climb(cairn::Climber::Change change, Span limit, Told told);
+  // A chosen value, from wherever.
+  void learn(const cairn::Value& value);
+  void tick();
+  // Duty of the first live voter: brings the voters in line with the core machines that live.
+  void keepVoters(const std::set<NodeId>& live, const std::set<NodeId>& lost);
+
+  [[nodiscard]] const cairn::Value& known() const { return known_; }
+  [[nodiscard]] bool voter() const { return ledge_ && known_.isVoter(parts_.settings.self); }
+  [[nodiscard]] bool awake() const { return ledge_ && ledge_->awake(); }
+  [[nodiscard]] bool diskTrouble() const { return dirty_; }
+
+ private:
+  struct Climb;
+  void carry(const std::shared_ptr<Climb>& climb, std::vector<cairn::Climber::Send> sends);
+  void settle(const std::shared_ptr<Climb>& climb);
+  void rejoin();
+  void repair();
+  cairn::Value basis() const;
+
+  Parts parts_;
+  std::mt19937_64 random_;
+  std::optional<cairn::Ledge> ledge_;
+  cairn::Value known_;
+  bool dirty_ = false;  // the state in memory is ahead of the disk
+  bool repairing_ = false;
+  bool changingVoters_ = false;
+  std::optional<Instant> aheadSince_;
+  Instant rejoinAt_;
+};
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/office.cpp
@@ -0,0 +1,227 @@
+#include "process/office.hpp"
+
+#include <Poco/SHA1Engine.h>
+
+#include <charconv>
+#include <utility>
+
+#include "process/wire.hpp"
+#include "version/schema.hpp"
+
+namespace merlin::hut {
+
+using cairn::Chart;
+using cairn::Climber;
+using cairn::Server;
+using cairn::Value;
+using nlohmann::json;
+using saddle::Visit;
+
+namespace {
+constexpr Span kCallLimit = std::chrono::milliseconds(900);
+constexpr std::size_t kRecent = 32;
+constexpr const char* kJson = "application/json";
+
+std::string sha1(const std::string& text) {
+  Poco::SHA1Engine engine;
+  engine.update(text);
+  return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+bool knownCall(const Value& value, const std::string& digest) {
+  for (const auto& taken : value.recent) {
+    if (taken.digest == digest) return true;
+  }
+  return false;
+}
+
+// One operator's change as a function of the current value.
+Climber::Verdict decide(const json& document, bool whole, Revision base, const std::string& digest,
+                        const Value& current, Value& next) {
+  using Kind = Climber::Verdict::Kind;
+  Climber::Verdict verdict;
+  if (knownCall(current, digest)) return verdict;
+  verdict.kind = Kind::refuse;
+  if (current.revision() != base) {
+    verdict.error = ErrorKind::otherVersion;
+    verdict.detail = "version " + std::to_string(current.revision().value) + " is in place";
+    return verdict;
+  }
+  verdict.error = ErrorKind::invalidConfig;
+  json config = document;
+  if (!whole) {
+    if (!current.config) {
+      verdict.error = ErrorKind::otherVersion;
+      return verdict;
+    }
+    auto updated = cairn::applyUpdate(*current.config, document);
+    if (!updated.problem.empty()) {
+      verdict.detail = updated.problem;
+      return verdict;
+    }
+    config = std::move(updated.config);
+  }
+  const auto shared = std::make_shared<const json>(std::move(config));
+  const auto read = Chart::read(shared);
+  if (!read.chart) {
+    verdict.detail = read.problem;
+    return verdict;
+  }
+  if (read.chart->revision() <= current.revision()) {
+    verdict.detail = "revision: not above the current one";
+    return verdict;
+  }
+  verdict.kind = Kind::put;
+  next.config = shared;
+  next.recent.push_back({read.chart->revision(), digest});
+  if (next.recent.size() > kRecent) next.recent.erase(next.recent.begin());
+  return verdict;
+}
+}  // namespace
+
+void Office::visit(const Visit::Ptr& visit) {
+  const auto& uri = visit->request.getURI();
+  const auto path = uri.substr(0, uri.find('?'));
+  const auto& method = visit->request.getMethod();
+  struct Call {
+    const char* prefix;
+    bool tail;  // an id follows
+    const char* method;
+    std::function<void(const std::string& id, const std::string& body)> run;
+  };
+  const Call calls[] = {
+      {"/v1/Instances.Heartbeat/", true, "POST",
+       [this, visit](const auto& id, const auto& body) { heartbeat(visit, id, body); }},
+      {"/v1/Instances.Deregister/", true, "POST",
+       [this, visit](const auto& id, const auto&) { deregister(visit, id); }},
+      {"/v1/Configuration.Replace", false, "POST",
+       [this, visit](const auto&, const auto& body) { change(visit, body, true); }},
+      {"/v1/Configuration.Update", false, "POST",
+       [this, visit](const auto&, const auto& body) { change(visit, body, false); }},
+      {"/v1/Configuration.Describe", false, "GET",
+       [this, visit](const auto&, const auto&) { describe(visit); }},
+      {"/v1/Status", false, "GET",
+       [this, visit](const auto&, const auto&) {
+         visit->answer(200, "OK", parts_.status().dump(), kJson);
+       }},
+      {"/v1/readiness", false, "GET",
+       [this, visit](const auto&, const auto&) {
+         const bool ready = parts_.ready();
+         visit->answer(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", "", "");
+       }},
+  };
+  for (const auto& call : calls) {
+    const std::string prefix = call.prefix;
+    const bool hit =
+        call.tail ? path.size() > prefix.size() && path.rfind(prefix, 0) == 0 : path == prefix;
+    if (!hit) continue;
+    if (method != call.method) {
+      visit->fail(ErrorKind::wrongMethod, "", {{"Allow", call.method}});
+      return;
+    }
+    const auto id = call.tail ? path.substr(prefix.size()) : "";
+    whenWhole(visit, [run = call.run, id](const std::string& body) { run(id, body); });
+    return;
+  }
+  visit->fail(ErrorKind::unknownCall);
+}
+
+void Office::heartbeat(const Visit::Ptr& visit, const std::string& id, const std::string& body) {
+  const auto document = json::parse(body, nullptr, false);
+  if (document.is_discarded()) {
+    visit->fail(ErrorKind::badJson);
+    return;
+  }
+  if (auto problem = cairn::schemaProblem(cairn::SchemaKind::heartbeat, document);
+      !problem.empty()) {
+    visit->fail(ErrorKind::badJson, problem);
+    return;
+  }
+  const auto& info = document["node_info"];
+  const auto& detail = document["status_detail"];
+  Server server;
+  server.id = InstanceId(id);
+  server.service = ServiceName(info["target_service"].get<std::string>());
+  server.address = document["address"].get<std::string>();
+  server.zone = ZoneName(info.value("zone", ""));
+  server.slots = info["capacity"].get<int>();
+  server.status =
+      detail["status"] == "draining" ? Server::Status::draining : Server::Status::available;
+  server.sequence = detail["sequence"].get<std::uint64_t>();
+  server.cold = detail.value("warmup_left_s", 0.0) > 0;
+  const auto beat = parts_.guestbook.beat(server, parts_.bell.now());
+  if (beat != cairn::Guestbook::Beat::stale) {
+    if (const auto now = parts_.guestbook.find(server.id)) parts_.serverHeard(*now);
+  }
+  if (beat == cairn::Guestbook::Beat::news) {
+    parts_.log("server " + id + (server.status == Server::Status::draining ? " drains" : " beats"));
+    parts_.news();
+  }
+  visit->answer(200, "OK", "{}", kJson);
+}
+
+void Office::deregister(const Visit::Ptr& visit, const std::string& id) {
+  if (parts_.guestbook.deregister(InstanceId(id), parts_.bell.now())) {
+    parts_.log("server " + id + " has left");
+    if (const auto now = parts_.guestbook.find(InstanceId(id))) parts_.serverHeard(*now);
+    parts_.news();
+  }
+  visit->answer(200, "OK", "{}", kJson);
+}
+
+void Office::change(const Visit::Ptr& visit, const std::string& body, bool whole) {
+  auto document = std::make_shared<json>(json::parse(body, nullptr, false));
+  if (document->is_discarded()) {
+    visit->fail(ErrorKind::invalidConfig, "the body can't be read whole");
+    return;
+  }
+  const auto baseText = visit->request.get("Base-Revision", "");
+  Revision base;
+  const auto read = std::from_chars(baseText.data(), baseText.data() + baseText.size(), base.value);
+  if (read.ec != std::errc() || read.ptr != baseText.data() + baseText.size()) {
+    visit->fail(ErrorKind::invalidConfig, "Base-Revision: a whole number is wanted");
+    return;
+  }
+  std::string problem;
+  if (whole) {
+    problem = Chart::read(document).problem;
+  } else {
+    problem = cairn::schemaProblem(cairn::SchemaKind::update, *document);
+  }
+  if (!problem.empty()) {
+    parts_.log("change refused, " + problem);
+    visit->fail(ErrorKind::invalidConfig, problem);
+    return;
+  }
+  const auto digest = sha1((whole ? "replace/" : "update/") + baseText + "/" + body);
+  parts_.council.climb(
+      [document, whole, base, digest](const Value& current, Value& next) {
+        return decide(*document, whole, base, digest, current, next);
+      },
+      kCallLimit,
+      [this, visit, document](const Climber::Result& result) {
+        const auto revision = std::to_string((*document)["revision"].get<std::int64_t>());
+        if (!result.ok) {
+          parts_.log("version " + revision + " refused: " + answerFor(result.error).text);
+          visit->fail(result.error, result.detail);
+          return;
+        }
+        parts_.log("version " + revision + " taken");
+        visit->answer(200, "OK", json{{"revision", (*document)["revision"]}}.dump(), kJson);
+      });
+}
+
+void Office::describe(const Visit::Ptr& visit) {
+  parts_.council.climb([](const Value&, Value&) { return Climber::Verdict{}; }, kCallLimit,
+                       [visit](const Climber::Result& result) {
+                         if (!result.ok || !result.known) {
+                           visit->fail(ErrorKind::noMajority);
+                         } else if (!result.chosen.config) {
+                           visit->fail(ErrorKind::noConfig);
+                         } else {
+                           visit->answer(200, "OK", result.chosen.config->dump(), kJson);
+                         }
+                       });
+}
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/office.hpp
@@ -0,0 +1,38 @@
+// office: the calls of servers and operators.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "connection/guest.hpp"
+#include "process/council.hpp"
+#include "version/chart.hpp"
+#include "version/guestbook.hpp"
+
+namespace merlin::hut {
+
+class Office {
+ public:
+  struct Parts {
+    Bell& bell;
+    Council& council;
+    cairn::Guestbook& guestbook;
+    std::function<void(const cairn::Server&)> serverHeard;  // before the acknowledgement leaves
+    std::function<void()> news;
+    std::function<nlohmann::json()> status;
+    std::function<bool()> ready;
+    std::function<void(const std::string&)> log;
+  };
+  explicit Office(Parts parts) : parts_(std::move(parts)) {}
+  void visit(const saddle::Visit::Ptr& visit);
+
+ private:
+  void heartbeat(const saddle::Visit::Ptr& visit, const std::string& id, const std::string& body);
+  void deregister(const saddle::Visit::Ptr& visit, const std::string& id);
+  void change(const saddle::Visit::Ptr& visit, const std::string& body, bool whole);
+  void describe(const saddle::Visit::Ptr& visit);
+  Parts parts_;
+};
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,108 @@
+#include "process/settings.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "version/schema.hpp"
+
+namespace merlin::hut {
+
+using nlohmann::json;
+
+namespace {
+
+std::string listener(const json& network, const char* name) {
+  return network["listeners"].value(name, "");
+}
+
+// Empty where the address is absent or sound.
+std::string addressProblem(const char* field, const std::string& address) {
+  if (address.empty()) return "";
+  try {
+    const Poco::Net::SocketAddress parsed(address);
+    if (parsed.port() != 0) return "";
+  } catch (const Poco::Exception&) {
+    // told below
+  }
+  return std::string(field) + ": not an address with a port: " + address;
+}
+
+void readTerms(const json& terms, Settings& s) {
+  s.drainTimeout = fromSeconds(terms.value("drain_timeout_s", toSeconds(s.drainTimeout)));
+  s.grace = fromSeconds(terms.value("grace_period_s", toSeconds(s.grace)));
+  s.retryRatio = terms.value("retry_budget_ratio", s.retryRatio);
+  s.retrySlack = terms.value("retry_budget_slack", s.retrySlack);
+  s.retryWindow = fromSeconds(terms.value("retry_window_s", toSeconds(s.retryWindow)));
+}
+
+}  // namespace
+
+SettingsRead parseSettings(const std::string& text) {
+  const auto document = json::parse(text, nullptr, false);
+  if (document.is_discarded()) return {std::nullopt, "settings: not JSON"};
+  if (auto problem = cairn::schemaProblem(cairn::SchemaKind::settings, document);
+      !problem.empty()) {
+    return {std::nullopt, "settings: " + problem};
+  }
+  Settings s;
+  const auto& node = document["self_node"];
+  const auto& network = document["network"];
+  s.nodeName = node["node_name"].get<std::string>();
+  s.self = NodeId(node["ip_address"].get<std::string>());
+  s.zone = ZoneName(node["zone"].get<std::string>());
+  s.service = ServiceName(node.value("target_service", ""));
+  s.appAddress = node.value("app_address", "");
+  s.quorumMember = node.value("quorum_member", false);
+  s.bootstrap = node.value("bootstrap", false);
+  if (node.contains("data_directory") && node["data_directory"].is_string()) {
+    s.dataDirectory = node["data_directory"].get<std::string>();
+  }
+  if (node.contains("limits")) {
+    s.descriptors = static_cast<int>(node["limits"].value("file_descriptors", 1024.0));
+    s.diskMb = static_cast<int>(node["limits"].value("disk_mb", 64.0));
+  }
+  s.ingress = listener(network, "ingress");
+  s.egress = listener(network, "egress");
+  s.readiness = listener(network, "readiness");
+  s.control = listener(network, "control_plane");
+  const std::pair<const char*, const std::string*> addresses[] = {
+      {"network.listeners.ingress", &s.ingress},
+      {"network.listeners.egress", &s.egress},
+      {"network.listeners.readiness", &s.readiness},
+      {"network.listeners.control_plane", &s.control},
+      {"self_node.app_address", &s.appAddress}};
+  for (const auto& [field, address] : addresses) {
+    if (auto problem = addressProblem(field, *address); !problem.empty()) {
+      return {std::nullopt, "settings: " + problem};
+    }
+  }
+  s.internalPort = network["internal_port_range"][0].get<std::uint16_t>();
+  if (!s.ingress.empty()) s.ingressPort = Poco::Net::SocketAddress(s.ingress).port();
+  for (const auto& seed : network["seed_nodes"]) {
+    const auto address = seed.get<std::string>();
+    if (auto problem = addressProblem("network.seed_nodes", address); !problem.empty()) {
+      return {std::nullopt, "settings: " + problem};
+    }
+    s.seeds.emplace_back(address.substr(0, address.find(':')));
+  }
+  if (document.contains("platform_config")) {
+    s.heartbeat = fromSeconds(document["platform_config"].value("heartbeat_interval_s", 1.5));
+  }
+  readTerms(document["policy_terms"]["timing_bounds"], s);
+  return {s, ""};
+}
+
+SettingsRead readSettings(const std::string& path) {
+  if (path.empty()) return {std::nullopt, "settings: MERLINGAUGE_SETTINGS is not set"};
+  std::ifstream file(path);
+  if (!file) return {std::nullopt, "settings: can't read " + path};
+  std::stringstream text;
+  text << file.rdbuf();
+  return parseSettings(text.str());
+}
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/warden.cpp
@@ -0,0 +1,319 @@
+#include "process/warden.hpp"
+
+#include <Poco/Logger.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace merlin::hut {
+
+using cairn::Server;
+using cairn::Value;
+using nlohmann::json;
+using Poco::Logger;
+using Poco::Net::SocketAddress;
+using saddle::Door;
+using saddle::Visit;
+
+namespace {
+constexpr Span kTick = std::chrono::milliseconds(100);
+constexpr double kSilentBeats = 2.6;  // a server silent for so many beats is dropped
+constexpr Span kRememberGone = std::chrono::seconds(60);
+constexpr Span kMeshConnect = std::chrono::milliseconds(300);
+constexpr Span kAppConnect = std::chrono::milliseconds(400);
+constexpr Span kStillComing = std::chrono::milliseconds(2300);  // callers notice a stop by then
+constexpr Span kExitMargin = std::chrono::milliseconds(400);
+constexpr Span kCoreLive = std::chrono::milliseconds(2500);
+constexpr Span kCoreLost = std::chrono::seconds(10);
+constexpr Span kCoreSettled = std::chrono::seconds(1);
+constexpr std::size_t kControlBody = 8U << 20;
+
+Logger& logOf(const char* part) { return Logger::get(part); }
+
+std::uint64_t randomSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) ^ device();
+}
+}  // namespace
+
+Warden::Warden(Bell& bell, Settings settings, std::string settingsPath)
+    : bell_(bell),
+      settings_(std::move(settings)),
+      settingsPath_(std::move(settingsPath)),
+      core_(settings_.quorumMember && !settings_.dataDirectory.empty()),
+      seed_(randomSeed()),
+      meshRopes_(bell, {kMeshConnect, std::chrono::seconds(20), 64}),
+      appRopes_(bell, {kAppConnect, std::chrono::seconds(20), 64}),
+      wire_(bell, settings_.internalPort),
+      // Lives of one machine rise with its steady clock; the guestbook steps over what others
+      // remember where that clock has begun anew.
+      guestbook_({settings_.self, settings_.zone, core_, false},
+                 Life{static_cast<std::uint64_t>(Bell::clock().time_since_epoch().count())}) {}
+
+Warden::~Warden() = default;
+
+void Warden::start() {
+  if (core_) {
+    const auto bytes = static_cast<std::size_t>(std::clamp(settings_.diskMb / 4, 8, 64)) << 20;
+    cellar_ = std::make_unique<Cellar>(bell_, settings_.dataDirectory + "/register", bytes);
+  }
+  council_ = std::make_unique<Council>(
+      Council::Parts{bell_, wire_, settings_, cellar_.get(),
+                     [this](const Value& value) { chosen(value); },
+                     [](const std::string& text) { logOf("cairn").information(text); }},
+      seed_ + 1);
+  roster_ = std::make_unique<Roster>(Roster::Parts{
+      bell_, wire_, settings_, guestbook_, [this]() -> const Value& { return council_->known(); },
+      [this](const Value& value) { council_->learn(value); },
+      [this] {
+        if (egress_) egress_->setNodes(guestbook_.pages().size());
+      },
+      core_});
+  office_ = std::make_unique<Office>(Office::Parts{
+      bell_, *council_, guestbook_,
+      [this](const Server& server) {
+        if (ingress_) ingress_->heard(server, bell_.now());
+      },
+      [this] { roster_->news(); }, [this] { return status(); }, [this] { return ready(); },
+      [](const std::string& text) { logOf("hut").information(text); }});
+  if (!settings_.egress.empty()) {
+    egress_ = std::make_unique<trail::Egress>(trail::Egress::Parts{
+        bell_, meshRopes_, guestbook_, [this] { return chart_; }, settings_.service,
+        settings_.ingressPort,
+        trail::TollTerms{settings_.retryRatio, settings_.retrySlack, settings_.retryWindow},
+        seed_ + 2});
+  }
+  if (!settings_.ingress.empty()) {
+    ingress_ = std::make_unique<trail::Ingress>(
+        trail::Ingress::Parts{bell_, appRopes_, settings_.appAddress,
+                              [this](const InstanceId& id) -> std::optional<Server> {
+                                for (const auto& server : guestbook_.own().servers) {
+                                  if (server.id == id) return server;
+                                }
+                                return std::nullopt;
+                              },
+                              settings_.drainTimeout,
+                              [this](const InstanceId& id) {
+                                if (guestbook_.silence(id)) roster_->news();
+                              }});
+  }
+  openDoors();
+  logOf("hut").information("node " + settings_.nodeName + " has started");
+  tick();
+}
+
+void Warden::openDoors() {
+  // Sockets share what is left of the descriptors; callers must not use up what the mesh needs.
+  const auto room = static_cast<std::size_t>(std::max(64, settings_.descriptors - 264));
+  const auto open = [&](std::unique_ptr<Door>& door, const std::string& at, std::size_t guests,
+                        std::function<void(const Visit::Ptr&)> serve) {
+    if (at.empty()) return;
+    door = std::make_unique<Door>(bell_, SocketAddress(at), guests);
+    door->reception->onVisit = std::move(serve);
+    door->reception->onRefused = [](ErrorKind kind) {
+      logOf("saddle").debug(std::string("refused: ") + answerFor(kind).text);
+    };
+  };
+  open(egressDoor_, settings_.egress, room / 3, [this](const auto& v) { egress_->visit(v); });
+  open(ingressDoor_, settings_.ingress, room / 3, [this](const auto& v) { ingress_->visit(v); });
+  open(readyDoor_, settings_.readiness, 32, [this](const auto& v) { office_->visit(v); });
+  open(controlDoor_, settings_.control, 128, [this](const auto& v) { office_->visit(v); });
+  const SocketAddress inner(settings_.self.str(), settings_.internalPort);
+  open(nodeDoor_, inner.toString(), 256, [this](const auto& v) { serveNode(v); });
+  if (controlDoor_) controlDoor_->reception->limits.bodyBytes = kControlBody;
+  nodeDoor_->reception->limits.bodyBytes = 2 * kControlBody;
+  if (ingressDoor_) ingressDoor_->reception->limits.headBytes = 128 * 1024;
+}
+
+void Warden::serveNode(const Visit::Ptr& visit) {
+  whenWhole(visit, [this, visit](const std::string& body) {
+    const auto document = json::parse(body, nullptr, false);
+    const auto& path = visit->request.getURI();
+    try {
+      if (document.is_discarded()) throw std::runtime_error("no JSON");
+      if (path == "/news") {
+        roster_->serve(visit, document);
+        return;
+      }
+      if (path == "/register") {
+        council_->ask(cairn::askFrom(document), [visit](std::optional<cairn::Reply> reply) {
+          if (reply) {
+            visit->answer(200, "OK", toJson(*reply).dump(), "application/json");
+          } else {
+            visit->fail(ErrorKind::noMajority);
+          }
+        });
+        return;
+      }
+      visit->fail(ErrorKind::unknownCall);
+    } catch (const std::exception& problem) {
+      logOf("hut").debug(std::string("foreign message: ") + problem.what());
+      visit->fail(ErrorKind::foreignMessage);
+    }
+  });
+}
+
+void Warden::chosen(const Value& value) {
+  if (value.config && (!chart_ || value.revision() > chart_->revision())) {
+    auto read = cairn::Chart::read(value.config);
+    if (read.chart) {
+      chart_ = read.chart;
+      applyLimits();
+      logOf("cairn").information("version " + std::to_string(value.revision().value) +
+                                 " is in force here");
+    } else {
+      logOf("cairn").error("a chosen version can't be read: " + read.problem);
+    }
+  }
+  if (roster_) roster_->news();
+}
+
+void Warden::applyLimits() {
+  if (!egressDoor_) return;
+  const auto& limits = chart_->limits();
+  auto& mine = egressDoor_->reception->limits;
+  mine.headBytes = limits.headBytes;
+  mine.bodyBytes = limits.bodyBytes;
+  mine.headerTime = limits.headerTime;
+  mine.idleTime = limits.idleTime;
+}
+
+bool Warden::ready() const { return !stopping_ && chart_ != nullptr && roster_->everPulled(); }
+
+void Warden::tick() {
+  const Instant now = bell_.now();
+  const auto silent = fromSeconds(toSeconds(settings_.heartbeat) * kSilentBeats);
+  if (guestbook_.expire(now, silent, kRememberGone)) {
+    logOf("hut").information("a server beside this node is silent");
+    roster_->news();
+  }
+  roster_->tick();
+  council_->tick();
+  if (core_) duties();
+  if (stopping_) drainOut();
+  bell_.after(kTick, [this] { tick(); });
+}
+
+// Keeping the voters falls to the first of them that lives, in the order of their names.
+void Warden::duties() {
+  if (stopping_) return;
+  const Instant now = bell_.now();
+  std::set<NodeId> live;
+  std::set<NodeId> lost;
+  for (const auto& [node, page] : guestbook_.pages()) {
+    if (!page.node.core) continue;
+    if (node == settings_.self) {
+      live.insert(node);
+      continue;
+    }
+    if (!coreSeen_.contains(node)) coreSeen_[node] = now;
+    if (roster_->heardWithin(node, kCoreLive) && !page.node.leaving &&
+        now - coreSeen_[node] > kCoreSettled) {
+      live.insert(node);
+    }
+  }
+  const auto& known = council_->known();
+  for (const auto& voter : known.voters) {
+    if (voter == settings_.self) continue;
+    if (!coreSeen_.contains(voter)) coreSeen_[voter] = now;
+    if (now - std::max(roster_->lastHeard(voter), coreSeen_[voter]) > kCoreLost) lost.insert(voter);
+  }
+  for (const auto& voter : known.voters) {
+    if (voter == settings_.self) break;
+    if (live.contains(voter)) return;  // an earlier one lives: its duty
+  }
+  if (!council_->awake()) return;
+  council_->keepVoters(live, lost);
+}
+
+json Warden::status() {
+  json nodes = json::array();
+  for (const auto& [node, page] : guestbook_.pages()) {
+    json servers = json::array();
+    for (const auto& s : page.servers) {
+      static const char* const kStatus[] = {"available", "draining", "gone"};
+      servers.push_back({{"instance", s.id.str()},
+                         {"service", s.service.str()},
+                         {"address", s.address},
+                         {"slots", s.slots},
+                         {"status", kStatus[static_cast<int>(s.status)]}});
+    }
+    nodes.push_back({{"node", node.str()},
+                     {"zone", page.node.zone.str()},
+                     {"core", page.node.core},
+                     {"leaving", page.node.leaving},
+                     {"heard", node == settings_.self || roster_->heardWithin(node, kCoreLive)},
+                     {"servers", std::move(servers)}});
+  }
+  json voters = json::array();
+  for (const auto& voter : council_->known().voters) voters.push_back(voter.str());
+  json out = {{"node", settings_.nodeName},
+              {"version", MERLIN_VERSION},
+              {"ready", ready()},
+              {"revision", council_->known().revision().value},
+              {"in_force", chart_ ? chart_->revision().value : 0},
+              {"epoch", council_->known().epoch},
+              {"voters", std::move(voters)},
+              {"votes", council_->voter() && council_->awake()},
+              {"disk_trouble", council_->diskTrouble()},
+              {"nodes", std::move(nodes)}};
+  if (egress_) {
+    const auto& c = egress_->counts();
+    out["egress"] = {{"requests", c.requests},
+                     {"served", c.served},
+                     {"refused", c.refused},
+                     {"failed", c.failed},
+                     {"sent_on", c.hops},
+                     {"dialled", meshRopes_.dialled()},
+                     {"in_flight", egress_->inFlight()}};
+  }
+  if (ingress_) {
+    const auto& c = ingress_->counts();
+    out["ingress"] = {{"admitted", c.admitted}, {"queued", c.queued},
+                      {"full", c.full},         {"not_there", c.notThere},
+                      {"unclear", c.unclear},   {"dialled", appRopes_.dialled()}};
+  }
+  return out;
+}
+
+void Warden::stop() {
+  if (stopping_) return;
+  stopping_ = bell_.now();
+  logOf("hut").information("stopping, what was taken is finished first");
+  guestbook_.leave();
+  roster_->news();
+  for (auto* door : {egressDoor_.get(), ingressDoor_.get()}) {
+    if (door != nullptr) door->reception->closing = true;
+  }
+}
+
+void Warden::drainOut() {
+  const Span since = bell_.now() - *stopping_;
+  const int busy = (egress_ ? egress_->inFlight() : 0) + (ingress_ ? ingress_->running() : 0);
+  const bool still = egress_ != nullptr && since < kStillComing;
+  if (egress_ && !still) egress_->refuseAll(true);
+  const Span most = std::max(Span(0), settings_.grace - kExitMargin);
+  if ((busy == 0 && !still && since > kTick) || since > most) {
+    roster_->stop();
+    logOf("hut").information("stopped");
+    bell_.after(kTick, [this] { bell_.stop(); });
+  }
+}
+
+void Warden::reread() {
+  auto read = readSettings(settingsPath_);
+  if (!read.settings) {
+    logOf("hut").error("the new settings are not taken: " + read.problem);
+    return;
+  }
+  // Addresses and identity hold for the life of the process; the rest applies now.
+  settings_.seeds = read.settings->seeds;
+  settings_.heartbeat = read.settings->heartbeat;
+  settings_.drainTimeout = read.settings->drainTimeout;
+  settings_.grace = read.settings->grace;
+  logOf("hut").information("settings read again");
+}
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/warden.hpp
@@ -0,0 +1,70 @@
+// warden: one node. Puts the parts together and runs them from start to stop.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "connection/call.hpp"
+#include "connection/guest.hpp"
+#include "process/bell.hpp"
+#include "process/cellar.hpp"
+#include "process/council.hpp"
+#include "process/office.hpp"
+#include "process/roster.hpp"
+#include "process/settings.hpp"
+#include "process/wire.hpp"
+#include "request/egress.hpp"
+#include "request/ingress.hpp"
+#include "version/chart.hpp"
+#include "version/guestbook.hpp"
+
+namespace merlin::hut {
+
+class Warden {
+ public:
+  Warden(Bell& bell, Settings settings, std::string settingsPath);
+  ~Warden();
+  Warden(const Warden&) = delete;
+  Warden& operator=(const Warden&) = delete;
+  void start();
+  void stop();    // SIGTERM
+  void reread();  // SIGHUP
+
+ private:
+  void openDoors();
+  void tick();
+  void duties();
+  void chosen(const cairn::Value& value);
+  void serveNode(const saddle::Visit::Ptr& visit);
+  void drainOut();
+  void applyLimits();
+  [[nodiscard]] bool ready() const;
+  nlohmann::json status();
+
+  Bell& bell_;
+  Settings settings_;
+  std::string settingsPath_;
+  bool core_;
+  std::uint64_t seed_;
+  saddle::Ropes meshRopes_;
+  saddle::Ropes appRopes_;
+  Wire wire_;
+  cairn::Guestbook guestbook_;
+  std::unique_ptr<Cellar> cellar_;
+  std::unique_ptr<Council> council_;
+  std::unique_ptr<Roster> roster_;
+  std::unique_ptr<Office> office_;
+  std::unique_ptr<trail::Egress> egress_;
+  std::unique_ptr<trail::Ingress> ingress_;
+  std::unique_ptr<saddle::Door> egressDoor_;
+  std::unique_ptr<saddle::Door> ingressDoor_;
+  std::unique_ptr<saddle::Door> readyDoor_;
+  std::unique_ptr<saddle::Door> controlDoor_;
+  std::unique_ptr<saddle::Door> nodeDoor_;
+  cairn::Chart::Ptr chart_;
+  std::optional<Instant> stopping_;
+  std::map<NodeId, Instant> coreSeen_;
+};
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/process/wire.hpp
@@ -0,0 +1,41 @@
+// wire: JSON messages between the nodes, as HTTP posts to their internal port.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "connection/call.hpp"
+#include "connection/guest.hpp"
+#include "process/bell.hpp"
+#include "units.hpp"
+
+namespace merlin::hut {
+
+class Wire {
+ public:
+  using Answer = std::function<void(std::optional<nlohmann::json>)>;
+  Wire(Bell& bell, std::uint16_t port);
+  void post(const NodeId& to, const std::string& path, const nlohmann::json& body, Span limit,
+            Answer answer);
+  // Hands a caller's request on to another address and its answer back.
+  struct Raw {
+    int status = 0;
+    std::string reason;
+    std::string type;
+    std::string body;
+  };
+  void pass(const Poco::Net::SocketAddress& to, const Poco::Net::HTTPRequest& request,
+            const std::string& body, Span limit, std::function<void(std::optional<Raw>)> answer);
+
+ private:
+  Bell& bell_;
+  std::uint16_t port_;
+  saddle::Ropes ropes_;
+};
+
+// Collects the whole body of a visit, then calls `then`.
+void whenWhole(const saddle::Visit::Ptr& visit, std::function<void(const std::string&)> then);
+
+}  // namespace merlin::hut
--- /dev/null
+++ b/src/request/ascent.cpp
@@ -0,0 +1,93 @@
+#include "request/ascent.hpp"
+
+#include <utility>
+
+namespace merlin::trail {
+
+namespace {
+constexpr int kMaxHops = 12;
+constexpr int kTryWithoutWaiting = 2;  // then the next one may queue
+}  // namespace
+
+Ascent::Ascent(Terms terms, Candidates candidates, Wayfinder& wayfinder, Toll& toll)
+    : terms_(std::move(terms)),
+      candidates_(std::move(candidates)),
+      wayfinder_(wayfinder),
+      toll_(toll) {}
+
+Step Ascent::begin(Instant now) {
+  toll_.first(terms_.service, now);
+  return next(now);
+}
+
+Step Ascent::giveUp(ErrorKind kind) const {
+  Step step;
+  // Once a server may have run it, no answer may promise that it has not.
+  step.error = anyRun_ ? ErrorKind::maybeRun : kind;
+  return step;
+}
+
+ErrorKind Ascent::atDeadline(bool sent) const {
+  return sent || anyRun_ ? ErrorKind::deadline : ErrorKind::timeUp;
+}
+
+Step Ascent::next(Instant now) {
+  if (now >= terms_.deadline) return giveUp(ErrorKind::timeUp);
+  if (++hops_ > kMaxHops) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
+  auto all = candidates_();
+  std::vector<Candidate> open;
+  std::vector<Candidate> busy;
+  for (auto& candidate : all) {
+    if (avoid_.contains(candidate.id)) continue;
+    (full_.contains(candidate.id) ? busy : open).push_back(std::move(candidate));
+  }
+  const bool mayWait = open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
+  auto& from = open.empty() ? busy : open;
+  if (from.empty()) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
+  std::vector<Look> looks;
+  looks.reserve(from.size());
+  for (const auto& candidate : from) looks.push_back({candidate.jobs});
+  const auto choice = wayfinder_.pick(looks);
+  Step step;
+  step.what = Step::Do::send;
+  step.to = from[choice.index];
+  step.mayWait = mayWait;
+  last_ = step.to.id;
+  lastMayWait_ = mayWait;
+  ++arrivals_;
+  return step;
+}
+
+Step Ascent::after(Outcome outcome, Instant now) {
+  switch (outcome) {
+    case Outcome::full:
+      --arrivals_;
+      anyFull_ = true;
+      // One that refused even to queue it is out of the question.
+      (lastMayWait_ ? avoid_ : full_).insert(last_);
+      break;
+    case Outcome::notThere:
+    case Outcome::unreachable:
+      --arrivals_;
+      avoid_.insert(last_);
+      break;
+    case Outcome::turnedAway:
+      avoid_.insert(last_);
+      if (arrivals_ >= terms_.maxAttempts || !toll_.repeat(terms_.service, now)) {
+        return giveUp(ErrorKind::overloaded);
+      }
+      break;
+    case Outcome::maybeRun:
+      anyRun_ = true;
+      avoid_.insert(last_);
+      if (!terms_.idempotent || arrivals_ >= terms_.maxAttempts ||
+          !toll_.repeat(terms_.service, now)) {
+        return giveUp(ErrorKind::maybeRun);
+      }
+      break;
+  }
+  if (!terms_.replayable) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
+  return next(now);
+}
+
+}  // namespace merlin::trail
--- /dev/null
+++ b/src/request/ascent.hpp
@@ -0,0 +1,80 @@
+// ascent: one request from its route to its answer, as decisions. It is told what became of each
+// try and says what to do next. The egress carries it out; the test runner does too.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "errors.hpp"
+#include "request/toll.hpp"
+#include "request/wayfinder.hpp"
+#include "units.hpp"
+
+namespace merlin::trail {
+
+// A server this node may choose.
+struct Candidate {
+  InstanceId id;
+  std::string address;
+  double jobs = 0;
+  int slots = 1;
+};
+
+enum class Outcome : std::uint8_t {
+  full,         // not passed on: the server's slots are taken
+  notThere,     // not passed on: draining, unknown there, or not to be reached
+  unreachable,  // nothing left this node
+  turnedAway,   // the server itself said that it did not run it
+  maybeRun,     // it may have run, and there is no whole answer
+};
+
+struct Terms {
+  ServiceName service;
+  bool idempotent = false;
+  int maxAttempts = 1;
+  Instant deadline;
+  bool replayable = true;  // the body is still held
+};
+
+struct Step {
+  enum class Do : std::uint8_t { send, answer };
+  Do what = Do::answer;
+  Candidate to;
+  bool mayWait = false;
+  ErrorKind error = ErrorKind::noServer;
+};
+
+class Ascent {
+ public:
+  using Candidates = std::function<std::vector<Candidate>()>;
+  Ascent(Terms terms, Candidates candidates, Wayfinder& wayfinder, Toll& toll);
+
+  Step begin(Instant now);
+  Step after(Outcome outcome, Instant now);
+  void bodyLost() { terms_.replayable = false; }
+  // The deadline passed while a try was out.
+  [[nodiscard]] ErrorKind atDeadline(bool sent) const;
+  [[nodiscard]] int arrivals() const { return arrivals_; }
+
+ private:
+  Step next(Instant now);
+  Step giveUp(ErrorKind kind) const;
+
+  Terms terms_;
+  Candidates candidates_;
+  Wayfinder& wayfinder_;
+  Toll& toll_;
+  std::set<InstanceId> avoid_;  // can't be had for this request
+  std::set<InstanceId> full_;   // had no free slot
+  InstanceId last_;
+  int arrivals_ = 0;  // servers that may have seen it
+  int hops_ = 0;
+  bool lastMayWait_ = false;
+  bool anyRun_ = false;
+  bool anyFull_ = false;
+};
+
+}  // namespace merlin::trail
--- /dev/null
+++ b/src/request/hop.hpp
@@ -0,0 +1,37 @@
+// hop: the headers that the two nodes of a path say to each other. Callers never see them and
+// can't set them.
+#pragma once
+
+#include <Poco/String.h>
+
+#include <string>
+
+namespace merlin::trail::hop {
+
+inline constexpr const char* kRank = "Hut-Rank";        // the route's priority
+inline constexpr const char* kWait = "Hut-Wait";        // 1: may queue beside the server
+inline constexpr const char* kOnce = "Hut-Once";        // 1: must not run twice
+inline constexpr const char* kRefused = "Hut-Refused";  // not passed on, and why
+inline constexpr const char* kUnclear = "Hut-Unclear";  // passed on, no whole answer
+inline constexpr const char* kLoad = "Hut-Load";        // jobs at the server, slots
+
+inline constexpr const char* kFull = "full";
+inline constexpr const char* kNotThere = "not-there";
+inline constexpr const char* kTurnedAway = "turned-away";
+
+inline bool ours(const std::string& name) {
+  return name.size() > 4 && Poco::icompare(name.substr(0, 4), "Hut-") == 0;
+}
+
+// What the egress takes out of a caller's request before it writes its own.
+inline bool dropAtEgress(const std::string& name) {
+  return ours(name) || Poco::icompare(name, "Caller-Service") == 0 ||
+         Poco::icompare(name, "Expected-Instance") == 0 ||
+         Poco::icompare(name, "Deadline-Ms") == 0 || Poco::icompare(name, "Expect") == 0;
+}
+
+inline bool dropAtIngress(const std::string& name) {
+  return ours(name) || Poco::icompare(name, "Deadline-Ms") == 0;
+}
+
+}  // namespace merlin::trail::hop
--- /dev/null
+++ b/src/request/wayfinder.hpp
@@ -0,0 +1,41 @@
+// wayfinder: the picker. d-adaptive sampling after Bramson, Lu and Prabhakar, section 3.1: read one
+// uniform sample of length k, sample f(k) more, the shortest queue wins. docs/design.md says what
+// was kept and what was changed.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace merlin::trail {
+
+// What the picker sees of one candidate.
+struct Look {
+  double jobs = 0;  // requests there: running and waiting, as far as this node can tell
+};
+
+struct Choice {
+  std::size_t index = 0;
+  std::size_t samples = 0;  // how many candidates were read
+};
+
+// f(k): how many more to sample after reading k. Never falls, never below 1.
+using SampleRule = std::function<std::size_t(double k)>;
+std::size_t sampleAsMany(double k);  // f(k) = k, at least 1
+
+class Wayfinder {
+ public:
+  explicit Wayfinder(std::uint64_t seed, SampleRule rule = sampleAsMany);
+  // `looks` must not be empty.
+  Choice pick(const std::vector<Look>& looks);
+  double uniform();
+
+ private:
+  std::size_t below(std::size_t n);
+  std::mt19937_64 random_;
+  SampleRule rule_;
+  std::vector<std::size_t> order_;
+};
+
+}  // namespace merlin::trail
--- /dev/null
+++ b/src/version/chart.cpp
@@ -0,0 +1,166 @@
+#include "version/chart.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "version/schema.hpp"
+
+namespace merlin::cairn {
+
+using nlohmann::json;
+
+namespace {
+
+std::string hostKey(std::string_view host) {
+  host = host.substr(0, host.find(':'));
+  std::string key(host);
+  std::transform(key.begin(), key.end(), key.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return key;
+}
+
+constexpr double kTargetSlack = 60.0;
+
+// One route of a document that has passed the schema; empty where it is sound.
+std::string readRoute(const json& rule, const std::set<std::string>& services, Route& route) {
+  route.name = rule["name"].get<std::string>();
+  route.prefix = rule["path_prefix"].get<std::string>();
+  route.idempotent = rule["route_type"] == "idempotent";
+  const double timeout = rule["timeout_s"].get<double>();
+  const double target = rule.value("target_latency_s", timeout);
+  if (target >= timeout + kTargetSlack) {
+    return "route " + route.name + ": target_latency_s lies far over timeout_s";
+  }
+  route.timeout = fromSeconds(timeout);
+  route.target = fromSeconds(target);
+  route.priority = rule.value("priority", 0);
+  route.maxAttempts = rule["max_attempts"].get<int>();
+  if (rule.contains("traffic_split")) {
+    for (const auto& share : rule["traffic_split"]) {
+      route.split.push_back(
+          {ServiceName(share["target_service"].get<std::string>()), share["weight"].get<double>()});
+    }
+  } else if (rule.contains("target_service")) {
+    route.split.push_back({ServiceName(rule["target_service"].get<std::string>()), 1.0});
+  } else {
+    return "route " + route.name + ": neither target_service nor traffic_split";
+  }
+  double sum = 0;
+  for (const auto& share : route.split) {
+    if (!services.contains(share.service.str())) {
+      return "route " + route.name + ": unknown service " + share.service.str();
+    }
+    sum += share.weight;
+  }
+  return sum > 0 ? "" : "route " + route.name + ": the weights add up to nothing";
+}
+
+}  // namespace
+
+const ServiceName& Route::pickService(double draw) const {
+  double sum = 0;
+  for (const auto& share : split) sum += share.weight;
+  double left = draw * sum;
+  for (const auto& share : split) {
+    left -= share.weight;
+    if (left < 0) return share.service;
+  }
+  return split.back().service;
+}
+
+Chart::Read Chart::read(std::shared_ptr<const json> config) {
+  if (auto problem = schemaProblem(SchemaKind::configuration, *config); !problem.empty()) {
+    return {nullptr, problem};
+  }
+  auto chart = std::make_shared<Chart>();
+  chart->revision_ = Revision{(*config)["revision"].get<std::int64_t>()};
+  std::set<std::string> services;
+  for (const auto& service : (*config)["services"]) {
+    const auto name = service["name"].get<std::string>();
+    if (!services.insert(name).second) return {nullptr, "service " + name + ": named twice"};
+  }
+  std::set<std::string> names;
+  for (const auto& rule : (*config)["route_rules"]) {
+    Route route;
+    if (auto problem = readRoute(rule, services, route); !problem.empty()) {
+      return {nullptr, problem};
+    }
+    if (!names.insert(route.name).second) return {nullptr, "route " + route.name + ": named twice"};
+    auto& list = chart->hosts_[hostKey(rule["hostname"].get<std::string>())];
+    for (const auto& other : list) {
+      if (other.prefix == route.prefix) {
+        return {nullptr, "routes " + other.name + " and " + route.name + ": same host and prefix"};
+      }
+    }
+    list.push_back(std::move(route));
+    ++chart->routes_;
+  }
+  for (auto& [host, list] : chart->hosts_) {
+    std::stable_sort(list.begin(), list.end(), [](const Route& a, const Route& b) {
+      return a.prefix.size() > b.prefix.size();
+    });
+  }
+  if (config->contains("limits")) {
+    const auto& limits = (*config)["limits"];
+    auto& out = chart->limits_;
+    out.headBytes = limits.value("max_header_bytes", out.headBytes);
+    out.bodyBytes = limits.value("max_body_bytes", out.bodyBytes);
+    out.headerTime = fromSeconds(limits.value("header_timeout_s", toSeconds(out.headerTime)));
+    out.idleTime = fromSeconds(limits.value("idle_timeout_s", toSeconds(out.idleTime)));
+  }
+  return {chart, ""};
+}
+
+const Route* Chart::match(std::string_view host, std::string_view uri) const {
+  const auto it = hosts_.find(hostKey(host));
+  if (it == hosts_.end()) return nullptr;
+  const auto path = uri.substr(0, uri.find_first_of("?#"));
+  for (const auto& route : it->second) {
+    if (path.substr(0, route.prefix.size()) == route.prefix) return &route;
+  }
+  return nullptr;
+}
+
+Updated applyUpdate(const json& base, const json& update) {
+  if (auto problem = schemaProblem(SchemaKind::update, update); !problem.empty()) {
+    return {json(), problem};
+  }
+  Updated out{base, ""};
+  out.config["revision"] = update["revision"];
+  for (const char* list : {"route_rules", "services"}) {
+    std::map<std::string, const json*> put;
+    std::set<std::string> drop;
+    if (update.contains("upserts") && update["upserts"].contains(list)) {
+      for (const auto& item : update["upserts"][list]) put[item["name"].get<std::string>()] = &item;
+    }
+    if (update.contains("removals") && update["removals"].contains(list)) {
+      for (const auto& name : update["removals"][list]) drop.insert(name.get<std::string>());
+    }
+    json items = json::array();
+    for (const auto& item : out.config[list]) {
+      const auto name = item["name"].get<std::string>();
+      const auto hit = put.find(name);
+      if (hit != put.end()) {
+        items.push_back(*hit->second);
+        put.erase(hit);
+      } else if (!drop.contains(name)) {
+        items.push_back(item);
+      }
+    }
+    // New items keep the order in which the update names them.
+    if (update.contains("upserts") && update["upserts"].contains(list)) {
+      for (const auto& item : update["upserts"][list]) {
+        const auto hit = put.find(item["name"].get<std::string>());
+        if (hit != put.end() && hit->second == &item) items.push_back(item);
+      }
+    }
+    out.config[list] = std::move(items);
+  }
+  if (update.contains("upserts") && update["upserts"].contains("limits")) {
+    out.config["limits"] = update["upserts"]["limits"];
+  }
+  return out;
+}
+
+}  // namespace merlin::cairn
--- /dev/null
+++ b/src/version/register.cpp
@@ -0,0 +1,383 @@
+#include "version/register.hpp"
+
+#include <algorithm>
+
+namespace merlin::cairn {
+
+using nlohmann::json;
+
+namespace {
+constexpr Span kRoundTime = std::chrono::milliseconds(300);
+constexpr std::uint64_t kBackOffMs = 40;
+
+json names(const std::vector<NodeId>& nodes) {
+  json out = json::array();
+  for (const auto& node : nodes) out.push_back(node.str());
+  return out;
+}
+
+std::vector<NodeId> namesFrom(const json& j) {
+  std::vector<NodeId> out;
+  for (const auto& name : j) out.emplace_back(name.get<std::string>());
+  return out;
+}
+}  // namespace
+
+Revision Value::revision() const {
+  return Revision{config ? config->value("revision", std::int64_t{0}) : 0};
+}
+
+bool Value::isVoter(const NodeId& node) const {
+  return std::find(voters.begin(), voters.end(), node) != voters.end();
+}
+
+json toJson(const Ballot& ballot) { return json::array({ballot.number, ballot.by.str()}); }
+
+Ballot ballotFrom(const json& j) {
+  return {j.at(0).get<std::uint64_t>(), NodeId(j.at(1).get<std::string>())};
+}
+
+json toJson(const Value& value) {
+  json recent = json::array();
+  for (const auto& taken : value.recent) {
+    recent.push_back(json::array({taken.revision.value, taken.digest}));
+  }
+  json out = {{"s", value.sequence}, {"e", value.epoch}, {"v", names(value.voters)}};
+  if (value.config) out["c"] = *value.config;
+  if (!recent.empty()) out["r"] = std::move(recent);
+  if (!value.before.empty()) out["b"] = names(value.before);
+  return out;
+}
+
+Value valueFrom(const json& j) {
+  Value value;
+  value.sequence = j.at("s").get<std::uint64_t>();
+  value.epoch = j.at("e").get<std::uint64_t>();
+  value.voters = namesFrom(j.at("v"));
+  if (j.contains("c")) value.config = std::make_shared<const json>(j.at("c"));
+  if (j.contains("b")) value.before = namesFrom(j.at("b"));
+  if (j.contains("r")) {
+    for (const auto& taken : j.at("r")) {
+      value.recent.push_back(
+          {Revision{taken.at(0).get<std::int64_t>()}, taken.at(1).get<std::string>()});
+    }
+  }
+  return value;
+}
+
+json toJson(const Ask& ask) {
+  json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
+  if (ask.kind == Ask::Kind::accept) {
+    out["v"] = toJson(ask.value);
+    json lives = json::object();
+    for (const auto& [node, life] : ask.lives) lives[node.str()] = life.value;
+    out["l"] = std::move(lives);
+  } else if (ask.kind == Ask::Kind::rejoin) {
+    out["n"] = ask.life.value;
+  }
+  return out;
+}
+
+Ask askFrom(const json& j) {
+  Ask ask;
+  const int kind = j.at("k").get<int>();
+  if (kind < 0 || kind > static_cast<int>(Ask::Kind::rejoin)) throw std::out_of_range("ask kind");
+  ask.kind = static_cast<Ask::Kind>(kind);
+  ask.from = NodeId(j.at("f").get<std::string>());
+  ask.ballot = ballotFrom(j.at("b"));
+  if (ask.kind == Ask::Kind::accept) {
+    ask.value = valueFrom(j.at("v"));
+    for (const auto& [node, life] : j.at("l").items()) {
+      ask.lives[NodeId(node)] = Life{life.get<std::uint64_t>()};
+    }
+  } else if (ask.kind == Ask::Kind::rejoin) {
+    ask.life = Life{j.at("n").get<std::uint64_t>()};
+  }
+  return ask;
+}
+
+json toJson(const Reply& reply) {
+  json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
+  if (reply.asleep) out["z"] = true;
+  if (reply.accepted.number > 0) {
+    out["a"] = toJson(reply.accepted);
+    out["v"] = toJson(reply.value);
+  }
+  return out;
+}
+
+Reply replyFrom(const json& j) {
+  Reply reply;
+  reply.ok = j.at("o").get<bool>();
+  reply.asleep = j.value("z", false);
+  reply.life = Life{j.at("n").get<std::uint64_t>()};
+  reply.promised = ballotFrom(j.at("p"));
+  if (j.contains("a")) {
+    reply.accepted = ballotFrom(j.at("a"));
+    reply.value = valueFrom(j.at("v"));
+  }
+  return reply;
+}
+
+// ---- Ledge
+
+Ledge::Ledge(NodeId self, Life life, bool awake)
+    : self_(std::move(self)), life_(life), awake_(awake) {}
+
+json Ledge::save() const {
+  json lives = json::object();
+  for (const auto& [node, list] : lives_) {
+    json values = json::array();
+    for (const auto& life : list) values.push_back(life.value);
+    lives[node.str()] = std::move(values);
+  }
+  return {{"life", life_.value},           {"awake", awake_},
+          {"promised", toJson(promised_)}, {"accepted", toJson(accepted_)},
+          {"value", toJson(value_)},       {"lives", std::move(lives)}};
+}
+
+std::optional<Ledge> Ledge::restore(NodeId self, const json& saved) {
+  try {
+    Ledge ledge(std::move(self), Life{saved.at("life").get<std::uint64_t>()},
+                saved.at("awake").get<bool>());
+    ledge.promised_ = ballotFrom(saved.at("promised"));
+    ledge.accepted_ = ballotFrom(saved.at("accepted"));
+    ledge.value_ = valueFrom(saved.at("value"));
+    for (const auto& [node, list] : saved.at("lives").items()) {
+      for (const auto& life : list) {
+        ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
+      }
+    }
+    return ledge;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+Reply Ledge::answer(bool ok) const { return {ok, !awake_, life_, promised_, accepted_, value_}; }
+
+// False where the life named is over.
+bool Ledge::learnLife(const NodeId& node, Life life) {
+  auto& list = lives_[node];
+  if (!list.empty() && list.back() == life) return true;
+  if (std::find(list.begin(), list.end(), life) != list.end()) return false;
+  list.push_back(life);
+  return true;
+}
+
+Ledge::Out Ledge::ask(const Ask& ask) {
+  if (!awake_) return {answer(false), false};
+  switch (ask.kind) {
+    case Ask::Kind::prepare:
+      if (ask.ballot < promised_) return {answer(false), false};
+      promised_ = ask.ballot;
+      return {answer(true), true};
+    case Ask::Kind::accept: {
+      if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
+      for (const auto& [node, life] : ask.lives) {
+        if (node == self_ && life != life_) return {answer(false), false};
+        const auto it = lives_.find(node);
+        if (it == lives_.end() || it->second.empty() || it->second.back() == life) continue;
+        const auto& list = it->second;
+        if (std::find(list.begin(), list.end(), life) != list.end()) return {answer(false), false};
+      }
+      for (const auto& [node, life] : ask.lives) learnLife(node, life);
+      promised_ = ask.ballot;
+      accepted_ = ask.ballot;
+      value_ = ask.value;
+      return {answer(true), true};
+    }
+    case Ask::Kind::rejoin:
+      if (!learnLife(ask.from, ask.life)) return {answer(false), false};
+      return {answer(true), true};
+  }
+  return {answer(false), false};
+}
+
+std::optional<Ask> Ledge::rejoinAsk() const {
+  if (awake_) return std::nullopt;
+  Ask ask;
+  ask.kind = Ask::Kind::rejoin;
+  ask.from = self_;
+  ask.life = life_;
+  return ask;
+}
+
+bool Ledge::rejoinReply(const NodeId& from, const Reply& reply, const Value& known) {
+  if (awake_ || !reply.ok || reply.asleep) return false;
+  rejoin_[from] = reply;
+  // The newest voters that anyone has told of decide whose answers count.
+  const Value* newest = &known;
+  for (const auto& [node, r] : rejoin_) {
+    if (r.accepted.number > 0 && r.value.epoch > newest->epoch) newest = &r.value;
+  }
+  std::set<NodeId> have;
+  for (const auto& [node, r] : rejoin_) have.insert(node);
+  for (const auto* voters : {&newest->voters, &newest->before}) {
+    std::vector<NodeId> others;
+    for (const auto& voter : *voters) {
+      if (voter != self_) others.push_back(voter);
+    }
+    if (!others.empty() && !majority(others, have)) return false;
+  }
+  if (newest->voters.empty()) return false;
+  for (const auto& [node, r] : rejoin_) {
+    promised_ = std::max(promised_, r.promised);
+    if (r.accepted > accepted_) {
+      accepted_ = r.accepted;
+      value_ = r.value;
+    }
+  }
+  awake_ = true;
+  rejoin_.clear();
+  return true;
+}
+
+bool majority(const std::vector<NodeId>& voters, const std::set<NodeId>& have) {
+  const auto n = std::count_if(voters.begin(), voters.end(),
+                               [&](const NodeId& voter) { return have.contains(voter); });
+  return static_cast<std::size_t>(n) * 2 > voters.size();
+}
+
+// ---- Climber
+
+Climber::Climber(NodeId self, Value basis, Change change, std::uint64_t seed)
+    : self_(std::move(self)),
+      // No two climbs ever share a ballot, not even two at one node or across its restarts.
+      author_(self_.str() + "#" + std::to_string(seed)),
+      basis_(std::move(basis)),
+      change_(std::move(change)),
+      random_(seed) {}
+
+bool Climber::quorum(const Value& value, const std::set<NodeId>& have) {
+  return majority(value.voters, have) && (value.before.empty() || majority(value.before, have));
+}
+
+std::vector<Climber::Send> Climber::start(Instant now, Span limit) {
+  ends_ = now + limit;
+  return newRound(now);
+}
+
+std::vector<Climber::Send> Climber::newRound(Instant now) {
+  ++round_;
+  roundEnds_ = now + kRoundTime;
+  ballot_ = Ballot{highest_ + 1, author_};
+  highest_ = ballot_.number;
+  accepting_ = false;
+  waiting_ = false;
+  asked_.clear();
+  promises_.clear();
+  accepts_.clear();
+  bestValue_ = basis_;
+  bestBallot_ = Ballot{};
+  return askMore();
+}
+
+const Value& Climber::best() const { return bestValue_; }
+
+std::vector<Climber::Send> Climber::askMore() {
+  std::vector<Send> out;
+  for (const auto* voters : {&bestValue_.voters, &bestValue_.before}) {
+    for (const auto& voter : *voters) {
+      if (!asked_.insert(voter).second) continue;
+      Ask ask;
+      ask.kind = Ask::Kind::prepare;
+      ask.from = self_;
+      ask.ballot = ballot_;
+      out.push_back({voter, ask, round_});
+    }
+  }
+  return out;
+}
+
+bool Climber::everySame() const {
+  for (const auto& [node, promise] : promises_) {
+    if (promise.accepted != bestBallot_) return false;
+  }
+  return true;
+}
+
+std::vector<Climber::Send> Climber::backOff(Instant now) {
+  random_ = mixHash("back-off", random_ + round_);
+  waiting_ = true;
+  roundEnds_ = now + fromMillis(2.0 + static_cast<double>(random_ % kBackOffMs));
+  return {};
+}
+
+std::vector<Climber::Send> Climber::reply(const NodeId& from, std::uint64_t round,
+                                          const Reply& reply, Instant now) {
+  highest_ = std::max(highest_, reply.promised.number);
+  if (result_ || round != round_ || waiting_) return {};
+  if (reply.asleep) return {};
+  if (!reply.ok) return backOff(now);
+  if (accepting_) {
+    accepts_.insert(from);
+    if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
+    return {};
+  }
+  promises_[from] = reply;
+  if (reply.accepted > bestBallot_) {
+    bestBallot_ = reply.accepted;
+    bestValue_ = reply.value;
+  }
+  std::set<NodeId> have;
+  for (const auto& [node, promise] : promises_) have.insert(node);
+  if (quorum(bestValue_, have)) return promised(now);
+  return askMore();
+}
+
+// A majority has promised: decide what the register is to hold next.
+std::vector<Climber::Send> Climber::promised(Instant now) {
+  if (bestBallot_.number == 0 && basis_.sequence > 0) return {};  // can't be: the basis was chosen
+  old_ = bestValue_;
+  next_ = bestValue_;
+  verdict_ = change_(old_, next_);
+  if (verdict_.kind == Verdict::Kind::put) {
+    next_.sequence = old_.sequence + 1;
+  } else {
+    next_ = old_;
+    // Nothing to change, and the value read is chosen already: no second round.
+    if (everySame()) {
+      accepted();
+      return {};
+    }
+  }
+  accepting_ = true;
+  roundEnds_ = now + kRoundTime;
+  Ask ask;
+  ask.kind = Ask::Kind::accept;
+  ask.from = self_;
+  ask.ballot = ballot_;
+  ask.value = next_;
+  for (const auto& [node, promise] : promises_) ask.lives[node] = promise.life;
+  std::set<NodeId> all;
+  for (const Value* value : {&old_, &next_}) {
+    all.insert(value->voters.begin(), value->voters.end());
+    all.insert(value->before.begin(), value->before.end());
+  }
+  std::vector<Send> out;
+  for (const auto& node : all) out.push_back({node, ask, round_});
+  return out;
+}
+
+void Climber::accepted() {
+  Result result;
+  result.known = true;
+  result.chosen = next_;
+  result.ok = verdict_.kind != Verdict::Kind::refuse;
+  result.error = verdict_.error;
+  result.detail = verdict_.detail;
+  result_ = std::move(result);
+}
+
+std::vector<Climber::Send> Climber::tick(Instant now) {
+  if (result_) return {};
+  if (now >= ends_) {
+    result_ = Result{};
+    return {};
+  }
+  if (now < roundEnds_) return {};
+  return newRound(now);
+}
+
+}  // namespace merlin::cairn
--- /dev/null
+++ b/src/version/register.hpp
@@ -0,0 +1,179 @@
+// register: the configuration as one value at the voters, changed in two rounds at a majority.
+// Ledge is the voter's side, Climber one change or read. Neither touches a clock, a socket or a
+// disk. docs/register.md has the argument why it is safe.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "errors.hpp"
+#include "units.hpp"
+
+namespace merlin::cairn {
+
+struct Ballot {
+  std::uint64_t number = 0;
+  NodeId by;
+  auto operator<=>(const Ballot&) const = default;
+};
+
+// What the register holds.
+struct Value {
+  std::uint64_t sequence = 0;  // one more with every change
+  std::uint64_t epoch = 0;     // one more with every change of voters
+  std::shared_ptr<const nlohmann::json> config;
+  struct Taken {
+    Revision revision;
+    std::string digest;  // of the operator's call, to know it again
+  };
+  std::vector<Taken> recent;
+  std::vector<NodeId> voters;
+  std::vector<NodeId> before;  // the voters being left, until the change of voters is done
+
+  [[nodiscard]] Revision revision() const;
+  [[nodiscard]] bool isVoter(const NodeId& node) const;
+};
+
+nlohmann::json toJson(const Ballot& ballot);
+Ballot ballotFrom(const nlohmann::json& j);
+nlohmann::json toJson(const Value& value);
+Value valueFrom(const nlohmann::json& j);
+
+// Messages. One shape for all of them keeps the wire small and the runner simple.
+struct Ask {
+  enum class Kind : std::uint8_t { prepare, accept, rejoin };
+  Kind kind = Kind::prepare;
+  NodeId from;
+  Ballot ballot;
+  Value value;                   // accept
+  std::map<NodeId, Life> lives;  // accept: the lives that promised
+  Life life;                     // rejoin: the asker's new life
+};
+
+struct Reply {
+  bool ok = false;
+  bool asleep = false;  // this voter has forgotten its promises and is still reading them
+  Life life;
+  Ballot promised;
+  Ballot accepted;
+  Value value;
+};
+
+nlohmann::json toJson(const Ask& ask);
+Ask askFrom(const nlohmann::json& j);
+nlohmann::json toJson(const Reply& reply);
+Reply replyFrom(const nlohmann::json& j);
+
+class Ledge {
+ public:
+  // A voter of the very first start may vote at once; one with an empty disk later must read
+  // the others first.
+  Ledge(NodeId self, Life life, bool awake);
+  static std::optional<Ledge> restore(NodeId self, const nlohmann::json& saved);
+  [[nodiscard]] nlohmann::json save() const;
+
+  struct Out {
+    Reply reply;
+    bool sync = false;  // the reply may leave only after the state is on disk
+  };
+  Out ask(const Ask& ask);
+
+  // A voter that is asleep: whom to ask, and what came back. True once it is awake (then save).
+  [[nodiscard]] std::optional<Ask> rejoinAsk() const;
+  bool rejoinReply(const NodeId& from, const Reply& reply, const Value& known);
+
+  [[nodiscard]] bool awake() const { return awake_; }
+  [[nodiscard]] const Value& value() const { return value_; }
+  [[nodiscard]] const Ballot& accepted() const { return accepted_; }
+  [[nodiscard]] Life life() const { return life_; }
+
+ private:
+  [[nodiscard]] Reply answer(bool ok) const;
+  bool learnLife(const NodeId& node, Life life);
+
+  NodeId self_;
+  Life life_;
+  bool awake_;
+  Ballot promised_;
+  Ballot accepted_;
+  Value value_;
+  std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
+  std::map<NodeId, Reply> rejoin_;
+};
+
+bool majority(const std::vector<NodeId>& voters, const std::set<NodeId>& have);
+
+class Climber {
+ public:
+  // What a change makes of the current value.
+  struct Verdict {
+    enum class Kind : std::uint8_t { put, keep, refuse };
+    Kind kind = Kind::keep;
+    ErrorKind error = ErrorKind::otherVersion;
+    std::string detail;
+  };
+  using Change = std::function<Verdict(const Value& current, Value& next)>;
+  struct Send {
+    NodeId to;
+    Ask ask;
+    std::uint64_t round;
+  };
+  struct Result {
+    bool ok = false;
+    ErrorKind error = ErrorKind::noMajority;
+    std::string detail;
+    Value chosen;  // valid where the register was read or changed
+    bool known = false;
+  };
+
+  Climber(NodeId self, Value basis, Change change, std::uint64_t seed);
+
+  std::vector<Send> start(Instant now, Span limit);
+  std::vector<Send> reply(const NodeId& from, std::uint64_t round, const Reply& reply, Instant now);
+  std::vector<Send> tick(Instant now);
+  [[nodiscard]] const std::optional<Result>& result() const { return result_; }
+  // When `tick` is next wanted.
+  [[nodiscard]] Instant wake() const { return std::min(roundEnds_, ends_); }
+
+ private:
+  std::vector<Send> newRound(Instant now);
+  std::vector<Send> askMore();
+  std::vector<Send> promised(Instant now);
+  std::vector<Send> backOff(Instant now);
+  void accepted();
+  [[nodiscard]] const Value& best() const;
+  [[nodiscard]] bool everySame() const;
+  static bool quorum(const Value& value, const std::set<NodeId>& have);
+
+  NodeId self_;
+  NodeId author_;
+  Value basis_;
+  Change change_;
+  std::uint64_t random_;
+  Instant ends_;
+  Instant roundEnds_;
+  std::uint64_t round_ = 0;
+  std::uint64_t highest_ = 0;
+  Ballot ballot_;
+  bool accepting_ = false;
+  bool waiting_ = false;
+  std::set<NodeId> asked_;
+  std::map<NodeId, Reply> promises_;
+  std::set<NodeId> accepts_;
+  Value bestValue_;
+  Ballot bestBallot_;
+  Value old_;
+  Value next_;
+  Verdict verdict_;
+  std::optional<Result> result_;
+};
+
+}  // namespace merlin::cairn
