--- a/src/connection/rope.cpp
+++ b/src/connection/rope.cpp
@@ -160,16 +160,18 @@
 void Rope::flush() {
   const auto hold = shared_from_this();
   const bool had = unsent() > 0;
-  while (unsent() > 0) {
+  if (had) {
     int sent = 0;
     try {
       sent = socket_.sendBytes(out_.data() + sent_, static_cast<int>(unsent()));
-    } catch (const Poco::Exception&) {
-      ended(End::reset);
-      return;
+    } catch (const Poco::Exception& problem) {
+      // Poco throws here even where the socket is only full for now.
+      if (problem.code() != EAGAIN && problem.code() != EWOULDBLOCK) {
+        ended(End::reset);
+        return;
+      }
     }
-    if (sent <= 0) break;
-    sent_ += static_cast<std::size_t>(sent);
+    if (sent > 0) sent_ += static_cast<std::size_t>(sent);
   }
   if (unsent() == 0) {
     out_.clear();
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -108,7 +108,9 @@
       ask(send.ask, back);
       continue;
     }
-    parts_.wire.post(send.to, "/register", toJson(send.ask), kMessageLimit,
+    const Span size(
+        send.ask.value.config ? static_cast<std::int64_t>(send.ask.value.config->size()) * 4 : 0);
+    parts_.wire.post(send.to, "/register", toJson(send.ask), kMessageLimit + size,
                      [back](std::optional<json> answer) {
                        if (!answer) return;
                        try {
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -166,8 +166,7 @@
     const auto document = nlohmann::json::parse(text, nullptr, false);
     std::string problem;
     if (document.is_object() && document.contains("route_rules")) {
-      problem =
-          merlin::cairn::Chart::read(std::make_shared<const nlohmann::json>(document)).problem;
+      problem = merlin::cairn::Chart::read(document).problem;
     } else {
       problem = merlin::hut::parseSettings(text).problem;
     }
--- a/src/process/office.cpp
+++ b/src/process/office.cpp
@@ -36,8 +36,9 @@
 }
 
 // One operator's change as a function of the current value.
-Climber::Verdict decide(const json& document, bool whole, Revision base, const std::string& digest,
-                        const Value& current, Value& next) {
+Climber::Verdict decide(const json& document, const std::shared_ptr<const std::string>& text,
+                        bool whole, Revision base, const std::string& digest, const Value& current,
+                        Value& next) {
   using Kind = Climber::Verdict::Kind;
   Climber::Verdict verdict;
   if (knownCall(current, digest)) return verdict;
@@ -48,32 +49,33 @@
     return verdict;
   }
   verdict.error = ErrorKind::invalidConfig;
-  json config = document;
   if (!whole) {
     if (!current.config) {
       verdict.error = ErrorKind::otherVersion;
       return verdict;
     }
-    auto updated = cairn::applyUpdate(*current.config, document);
+    auto updated = cairn::applyUpdate(json::parse(*current.config), document);
     if (!updated.problem.empty()) {
       verdict.detail = updated.problem;
       return verdict;
     }
-    config = std::move(updated.config);
-  }
-  const auto shared = std::make_shared<const json>(std::move(config));
-  const auto read = Chart::read(shared);
-  if (!read.chart) {
-    verdict.detail = read.problem;
-    return verdict;
+    // Its items have passed the schema one by one; what is left are the rules between them.
+    const auto read = Chart::read(updated.config, false);
+    if (!read.chart) {
+      verdict.detail = read.problem;
+      return verdict;
+    }
+    next.config = std::make_shared<const std::string>(updated.config.dump());
+  } else {
+    next.config = text;
   }
-  if (read.chart->revision() <= current.revision()) {
+  next.configRevision = Revision{document["revision"].get<std::int64_t>()};
+  if (next.configRevision <= current.revision()) {
     verdict.detail = "revision: not above the current one";
     return verdict;
   }
   verdict.kind = Kind::put;
-  next.config = shared;
-  next.recent.push_back({read.chart->revision(), digest});
+  next.recent.push_back({next.configRevision, digest});
   if (next.recent.size() > kRecent) next.recent.erase(next.recent.begin());
   return verdict;
 }
@@ -184,7 +186,7 @@
   }
   std::string problem;
   if (whole) {
-    problem = Chart::read(document).problem;
+    problem = Chart::read(*document).problem;
   } else {
     problem = cairn::schemaProblem(cairn::SchemaKind::update, *document);
   }
@@ -195,8 +197,9 @@
   }
   const auto digest = sha1((whole ? "replace/" : "update/") + baseText + "/" + body);
   parts_.council.climb(
-      [document, whole, base, digest](const Value& current, Value& next) {
-        return decide(*document, whole, base, digest, current, next);
+      [document, whole, base, digest, text = std::make_shared<const std::string>(body)](
+          const Value& current, Value& next) {
+        return decide(*document, text, whole, base, digest, current, next);
       },
       kCallLimit,
       [this, visit, document](const Climber::Result& result) {
@@ -219,7 +222,7 @@
                          } else if (!result.chosen.config) {
                            visit->fail(ErrorKind::noConfig);
                          } else {
-                           visit->answer(200, "OK", result.chosen.config->dump(), kJson);
+                           visit->answer(200, "OK", *result.chosen.config, kJson);
                          }
                        });
 }
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -157,7 +157,8 @@
 
 void Warden::chosen(const Value& value) {
   if (value.config && (!chart_ || value.revision() > chart_->revision())) {
-    auto read = cairn::Chart::read(value.config);
+    // It has passed the schema where it was taken.
+    auto read = cairn::Chart::read(json::parse(*value.config), false);
     if (read.chart) {
       chart_ = read.chart;
       applyLimits();
--- a/src/version/chart.cpp
+++ b/src/version/chart.cpp
@@ -69,19 +69,20 @@
   return split.back().service;
 }
 
-Chart::Read Chart::read(std::shared_ptr<const json> config) {
-  if (auto problem = schemaProblem(SchemaKind::configuration, *config); !problem.empty()) {
-    return {nullptr, problem};
+Chart::Read Chart::read(const json& config, bool schema) {
+  if (schema) {
+    auto problem = schemaProblem(SchemaKind::configuration, config);
+    if (!problem.empty()) return {nullptr, problem};
   }
   auto chart = std::make_shared<Chart>();
-  chart->revision_ = Revision{(*config)["revision"].get<std::int64_t>()};
+  chart->revision_ = Revision{config["revision"].get<std::int64_t>()};
   std::set<std::string> services;
-  for (const auto& service : (*config)["services"]) {
+  for (const auto& service : config["services"]) {
     const auto name = service["name"].get<std::string>();
     if (!services.insert(name).second) return {nullptr, "service " + name + ": named twice"};
   }
   std::set<std::string> names;
-  for (const auto& rule : (*config)["route_rules"]) {
+  for (const auto& rule : config["route_rules"]) {
     Route route;
     if (auto problem = readRoute(rule, services, route); !problem.empty()) {
       return {nullptr, problem};
@@ -101,8 +102,8 @@
       return a.prefix.size() > b.prefix.size();
     });
   }
-  if (config->contains("limits")) {
-    const auto& limits = (*config)["limits"];
+  if (config.contains("limits")) {
+    const auto& limits = config["limits"];
     auto& out = chart->limits_;
     out.headBytes = limits.value("max_header_bytes", out.headBytes);
     out.bodyBytes = limits.value("max_body_bytes", out.bodyBytes);
--- a/src/version/chart.hpp
+++ b/src/version/chart.hpp
@@ -47,7 +47,8 @@
     Ptr chart;
     std::string problem;
   };
-  static Read read(std::shared_ptr<const nlohmann::json> config);
+  // `schema` false: the document has passed the schema before.
+  static Read read(const nlohmann::json& config, bool schema = true);
 
   // The longest prefix among the host's routes; null if none.
   [[nodiscard]] const Route* match(std::string_view host, std::string_view uri) const;
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -10,6 +10,11 @@
 constexpr Span kRoundTime = std::chrono::milliseconds(300);
 constexpr std::uint64_t kBackOffMs = 40;
 
+// A large value takes longer to send, read and write.
+Span sizeTime(const Value& value) {
+  return Span(value.config ? static_cast<std::int64_t>(value.config->size()) * 4 : 0);
+}
+
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
   for (const auto& node : nodes) out.push_back(node.str());
@@ -23,10 +28,6 @@
 }
 }  // namespace
 
-Revision Value::revision() const {
-  return Revision{config ? config->value("revision", std::int64_t{0}) : 0};
-}
-
 bool Value::isVoter(const NodeId& node) const {
   return std::find(voters.begin(), voters.end(), node) != voters.end();
 }
@@ -43,7 +44,11 @@
     recent.push_back(json::array({taken.revision.value, taken.digest}));
   }
   json out = {{"s", value.sequence}, {"e", value.epoch}, {"v", names(value.voters)}};
-  if (value.config) out["c"] = *value.config;
+  if (!value.stamp.empty()) out["t"] = value.stamp;
+  if (value.config) {
+    out["c"] = *value.config;
+    out["n"] = value.configRevision.value;
+  }
   if (!recent.empty()) out["r"] = std::move(recent);
   if (!value.before.empty()) out["b"] = names(value.before);
   return out;
@@ -54,7 +59,11 @@
   value.sequence = j.at("s").get<std::uint64_t>();
   value.epoch = j.at("e").get<std::uint64_t>();
   value.voters = namesFrom(j.at("v"));
-  if (j.contains("c")) value.config = std::make_shared<const json>(j.at("c"));
+  value.stamp = j.value("t", "");
+  if (j.contains("c")) {
+    value.config = std::make_shared<const std::string>(j.at("c").get<std::string>());
+    value.configRevision = Revision{j.at("n").get<std::int64_t>()};
+  }
   if (j.contains("b")) value.before = namesFrom(j.at("b"));
   if (j.contains("r")) {
     for (const auto& taken : j.at("r")) {
@@ -74,6 +83,8 @@
     out["l"] = std::move(lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
+  } else if (!ask.have.empty()) {
+    out["h"] = ask.have;
   }
   return out;
 }
@@ -92,6 +103,8 @@
     }
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
+  } else {
+    ask.have = j.value("h", "");
   }
   return ask;
 }
@@ -101,7 +114,11 @@
   if (reply.asleep) out["z"] = true;
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
-    out["v"] = toJson(reply.value);
+    if (reply.same) {
+      out["i"] = true;
+    } else {
+      out["v"] = toJson(reply.value);
+    }
   }
   return out;
 }
@@ -114,7 +131,8 @@
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
-    reply.value = valueFrom(j.at("v"));
+    reply.same = j.value("i", false);
+    if (!reply.same) reply.value = valueFrom(j.at("v"));
   }
   return reply;
 }
@@ -154,7 +172,9 @@
   }
 }
 
-Reply Ledge::answer(bool ok) const { return {ok, !awake_, life_, promised_, accepted_, value_}; }
+Reply Ledge::answer(bool ok) const {
+  return {ok, !awake_, life_, promised_, accepted_, value_, false};
+}
 
 // False where the life named is over.
 bool Ledge::learnLife(const NodeId& node, Life life) {
@@ -171,7 +191,11 @@
     case Ask::Kind::prepare:
       if (ask.ballot < promised_) return {answer(false), false};
       promised_ = ask.ballot;
-      return {answer(true), true};
+      {
+        Out out{answer(true), true};
+        out.reply.same = !ask.have.empty() && ask.have == value_.stamp;
+        return out;
+      }
     case Ask::Kind::accept: {
       if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
       for (const auto& [node, life] : ask.lives) {
@@ -185,7 +209,11 @@
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
-      return {answer(true), true};
+      {
+        Out out{answer(true), true};
+        out.reply.same = true;  // the asker wrote it
+        return out;
+      }
     }
     case Ask::Kind::rejoin:
       if (!learnLife(ask.from, ask.life)) return {answer(false), false};
@@ -284,6 +312,7 @@
       ask.kind = Ask::Kind::prepare;
       ask.from = self_;
       ask.ballot = ballot_;
+      ask.have = basis_.stamp;
       out.push_back({voter, ask, round_});
     }
   }
@@ -318,7 +347,7 @@
   promises_[from] = reply;
   if (reply.accepted > bestBallot_) {
     bestBallot_ = reply.accepted;
-    bestValue_ = reply.value;
+    bestValue_ = reply.same ? basis_ : reply.value;
   }
   std::set<NodeId> have;
   for (const auto& [node, promise] : promises_) have.insert(node);
@@ -334,6 +363,7 @@
   verdict_ = change_(old_, next_);
   if (verdict_.kind == Verdict::Kind::put) {
     next_.sequence = old_.sequence + 1;
+    next_.stamp = author_.str() + "/" + std::to_string(ballot_.number);
   } else {
     next_ = old_;
     // Nothing to change, and the value read is chosen already: no second round.
@@ -343,7 +373,8 @@
     }
   }
   accepting_ = true;
-  roundEnds_ = now + kRoundTime;
+  ++round_;  // a promise that comes late must not count as an acceptance
+  roundEnds_ = now + kRoundTime + sizeTime(next_);
   Ask ask;
   ask.kind = Ask::Kind::accept;
   ask.from = self_;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -27,9 +27,11 @@
 
 // What the register holds.
 struct Value {
-  std::uint64_t sequence = 0;  // one more with every change
-  std::uint64_t epoch = 0;     // one more with every change of voters
-  std::shared_ptr<const nlohmann::json> config;
+  std::uint64_t sequence = 0;                 // one more with every change
+  std::uint64_t epoch = 0;                    // one more with every change of voters
+  std::string stamp;                          // names this value; two values never share one
+  std::shared_ptr<const std::string> config;  // JSON as the operator wrote it, null at first
+  Revision configRevision;
   struct Taken {
     Revision revision;
     std::string digest;  // of the operator's call, to know it again
@@ -38,7 +40,7 @@
   std::vector<NodeId> voters;
   std::vector<NodeId> before;  // the voters being left, until the change of voters is done
 
-  [[nodiscard]] Revision revision() const;
+  [[nodiscard]] Revision revision() const { return configRevision; }
   [[nodiscard]] bool isVoter(const NodeId& node) const;
 };
 
@@ -56,6 +58,7 @@
   Value value;                   // accept
   std::map<NodeId, Life> lives;  // accept: the lives that promised
   Life life;                     // rejoin: the asker's new life
+  std::string have;              // prepare: stamp of the value the asker holds already
 };
 
 struct Reply {
@@ -65,6 +68,7 @@
   Ballot promised;
   Ballot accepted;
   Value value;
+  bool same = false;  // the value is the one the asker holds: it is not sent again
 };
 
 nlohmann::json toJson(const Ask& ask);
