--- a/src/connection/rope.cpp
+++ b/src/connection/rope.cpp
@@ -20,8 +20,8 @@
 constexpr Span kLinger = std::chrono::seconds(1);
 }  // namespace
 
-Rope::Rope(hut::Bell& bell, Poco::Net::StreamSocket socket, State state)
-    : bell_(bell), socket_(std::move(socket)), state_(state) {}
+Rope::Rope(hut::Bell& bell, const Poco::Net::StreamSocket& socket, State state)
+    : bell_(bell), socket_(socket), state_(state) {}
 
 Rope::~Rope() {
   if (state_ != State::gone) {
--- a/src/connection/rope.hpp
+++ b/src/connection/rope.hpp
@@ -47,7 +47,7 @@
 
  private:
   enum class State : std::uint8_t { dialling, open, finishing, gone };
-  Rope(hut::Bell& bell, Poco::Net::StreamSocket socket, State state);
+  Rope(hut::Bell& bell, const Poco::Net::StreamSocket& socket, State state);
   void join();
   void ready(int mode);
   void readSome();
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -98,8 +98,8 @@
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
 
-void Council::carry(const std::shared_ptr<Climb>& climb, std::vector<Climber::Send> sends) {
-  for (auto& send : sends) {
+void Council::carry(const std::shared_ptr<Climb>& climb, const std::vector<Climber::Send>& sends) {
+  for (const auto& send : sends) {
     const auto back = [this, climb, to = send.to, round = send.round](std::optional<Reply> reply) {
       if (!reply || climb->climber.result()) return;
       carry(climb, climb->climber.reply(to, round, *reply, parts_.bell.now()));
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -48,7 +48,7 @@
 
  private:
   struct Climb;
-  void carry(const std::shared_ptr<Climb>& climb, std::vector<cairn::Climber::Send> sends);
+  void carry(const std::shared_ptr<Climb>& climb, const std::vector<cairn::Climber::Send>& sends);
   void settle(const std::shared_ptr<Climb>& climb);
   void rejoin();
   void repair();
--- a/src/request/turnstile.cpp
+++ b/src/request/turnstile.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 constexpr double kLearn = 0.05;
-// A request that can't start while it still has this part of a typical run left is sent away.
-constexpr double kNeeded = 0.5;
+// A request that can't start with so many typical runs' time left is sent away.
+constexpr double kNeeded = 1.5;
 }  // namespace
 
 Turnstile::Answer Turnstile::arrive(const Arrival& arrival, Instant now) {
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 constexpr Span kRoundTime = std::chrono::milliseconds(300);
-constexpr std::uint64_t kBackOffMs = 40;
+constexpr std::uint64_t kBackOffMs = 20;
+constexpr int kBackOffSteps = 4;
 
 // A large value takes longer to send, read and write.
 Span sizeTime(const Value& value) {
@@ -329,7 +330,9 @@
 std::vector<Climber::Send> Climber::backOff(Instant now) {
   random_ = mixHash("back-off", random_ + round_);
   waiting_ = true;
-  roundEnds_ = now + fromMillis(2.0 + static_cast<double>(random_ % kBackOffMs));
+  // Longer each time: rivals with slow links must not keep taking each other's turn.
+  const std::uint64_t most = kBackOffMs << std::min(refusals_++, kBackOffSteps);
+  roundEnds_ = now + fromMillis(2.0 + static_cast<double>(random_ % most));
   return {};
 }
 
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -169,6 +169,7 @@
   Ballot ballot_;
   bool accepting_ = false;
   bool waiting_ = false;
+  int refusals_ = 0;
   std::set<NodeId> asked_;
   std::map<NodeId, Reply> promises_;
   std::set<NodeId> accepts_;
--- /dev/null
+++ b/tests/world_path.cpp
@@ -0,0 +1,380 @@
+// The path of a request: many egresses choosing among a few servers, each behind its turnstile,
+// with a loss at any step. Watches what the rules promise.
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <set>
+
+#include "request/ascent.hpp"
+#include "request/loads.hpp"
+#include "request/turnstile.hpp"
+#include "runner.hpp"
+
+namespace merlin::test {
+
+using trail::Ascent;
+using trail::Candidate;
+using trail::Loads;
+using trail::Outcome;
+using trail::Step;
+using trail::Toll;
+using trail::Turnstile;
+using trail::Wayfinder;
+
+namespace {
+
+struct Request {
+  int number = 0;
+  int node = 0;
+  bool idempotent = false;
+  int rank = 0;
+  double began = 0;
+  Instant deadline;
+  std::unique_ptr<Ascent> ascent;
+  int runs = 0;
+  bool over = false;
+  int turn = 0;  // the try that is out; answers to older ones are nobody's
+};
+
+struct Waiting {
+  std::shared_ptr<Request> request;
+  int turn;
+};
+
+struct Host {
+  InstanceId id;
+  double speed = 1;
+  std::unique_ptr<Turnstile> gate;
+  bool down = false;
+  double closesAt = -1;
+  double drainedAt = -1;
+  std::map<Turnstile::Ticket, Waiting> waiting;
+  int epoch = 0;
+};
+
+struct Node {
+  std::unique_ptr<Wayfinder> wayfinder;
+  std::unique_ptr<Toll> toll;
+  Loads loads;
+};
+
+class PathWorld {
+ public:
+  PathWorld(const Scenario& scenario, std::uint64_t seed) : s_(scenario), clock_(seed) {
+    const int servers = static_cast<int>(number(s_, "servers", 8));
+    const int slots = static_cast<int>(number(s_, "slots", 9));
+    const auto speeds = linesOf(s_, "speeds");
+    for (int i = 0; i < servers; ++i) {
+      auto host = std::make_unique<Host>();
+      host->id = InstanceId("s" + std::to_string(i));
+      host->gate = std::make_unique<Turnstile>(slots);
+      if (!speeds.empty()) {
+        const auto& w = speeds[0]->words;
+        host->speed = std::stod(w[1 + static_cast<std::size_t>(i) % (w.size() - 1)]);
+      }
+      hosts_.push_back(std::move(host));
+    }
+    const int nodes = static_cast<int>(number(s_, "nodes", 12));
+    terms_.ratio = number(s_, "ratio", 0.2);
+    terms_.slack = number(s_, "slack", 60);
+    for (int i = 0; i < nodes; ++i) {
+      auto node = std::make_unique<Node>();
+      node->wayfinder = std::make_unique<Wayfinder>(clock_.random());
+      node->toll = std::make_unique<Toll>(terms_);
+      node->toll->setNodes(static_cast<std::size_t>(nodes));
+      nodes_.push_back(std::move(node));
+    }
+  }
+
+  void play(std::map<std::string, double>& out) {
+    const double length = number(s_, "length", 15000);
+    for (const auto* line : linesOf(s_, "at")) schedule(*line);
+    arrive(length);
+    clock_.runUntil(length + 5000);
+    check();
+    std::sort(times_.begin(), times_.end());
+    const auto n = static_cast<double>(requests_.size());
+    out = {{"served", served_ / n},
+           {"refused", refused_ / n},
+           {"unclear", unclear_ / n},
+           {"overdue", overdue_ / n},
+           {"repeats", static_cast<double>(repeats_.size())},
+           {"p99", times_.empty() ? 0 : times_[times_.size() * 99 / 100]},
+           {"p50", times_.empty() ? 0 : times_[times_.size() / 2]},
+           {"after_drain", afterDrain_},
+           {"high_served", highServed_ / std::max(1.0, high_)},
+           {"low_served", lowServed_ / std::max(1.0, low_)}};
+  }
+
+ private:
+  void schedule(const Line& line) {
+    const auto& w = line.words;
+    clock_.after(std::stod(w.at(1)), [this, w] {
+      auto& host = *hosts_.at(std::stoul(w.at(3)));
+      if (w[2] == "crash") {
+        host.down = true;
+        ++host.epoch;
+        clock_.after(std::stod(w.at(4)), [this, &host] {
+          host.down = false;
+          host.gate = std::make_unique<Turnstile>(host.gate->slots());
+          host.waiting.clear();
+          return this;
+        });
+      } else if (w[2] == "drain") {
+        host.drainedAt = clock_.ms();
+        host.closesAt = clock_.ms() + std::stod(w.at(4)) / 2;
+      } else if (w[2] == "slow") {
+        host.speed *= std::stod(w.at(4));
+      } else {
+        throw Broken{"no such thing to do: " + w[2]};
+      }
+    });
+  }
+
+  void arrive(double length) {
+    const double perSecond = number(s_, "rate", 150);
+    const double gap = std::exponential_distribution<double>(perSecond / 1000)(clock_.random);
+    if (clock_.ms() + gap > length) return;
+    clock_.after(gap, [this, length] {
+      begin();
+      arrive(length);
+    });
+  }
+
+  void begin() {
+    auto request = std::make_shared<Request>();
+    request->number = static_cast<int>(requests_.size());
+    request->node = static_cast<int>(clock_.random() % nodes_.size());
+    request->idempotent = clock_.chance(number(s_, "idempotent", 0.6));
+    request->rank = clock_.chance(0.3) ? 0 : 2;
+    request->began = clock_.ms();
+    request->deadline = clock_.now() + fromMillis(number(s_, "deadline", 2000));
+    requests_.push_back(request);
+    firsts_.push_back(clock_.ms());
+    (request->rank == 0 ? high_ : low_) += 1;
+    trail::Terms terms;
+    terms.service = ServiceName("svc");
+    terms.idempotent = request->idempotent;
+    terms.maxAttempts = static_cast<int>(number(s_, "max_attempts", 2));
+    terms.deadline = request->deadline;
+    auto& node = *nodes_[static_cast<std::size_t>(request->node)];
+    request->ascent = std::make_unique<Ascent>(
+        terms, [this, &node] { return candidates(node); }, *node.wayfinder, *node.toll);
+    clock_.at(request->deadline, [this, request] {
+      if (request->over) return;
+      const bool sent = request->turn > 0;
+      const auto kind = request->ascent->atDeadline(sent);
+      end(*request, answerFor(kind).notRun ? refused_ : overdue_, answerFor(kind).notRun);
+    });
+    carryOut(request, request->ascent->begin(clock_.now()));
+  }
+
+  std::vector<Candidate> candidates(Node& node) {
+    std::vector<Candidate> out;
+    for (const auto& host : hosts_) {
+      // News of a drain takes a while to get round.
+      if (host->drainedAt >= 0 && clock_.ms() - host->drainedAt > number(s_, "news", 50)) continue;
+      if (!node.loads.reachable(host->id, clock_.now())) continue;
+      out.push_back({host->id, "", node.loads.jobs(host->id, clock_.now()), host->gate->slots()});
+    }
+    return out;
+  }
+
+  void carryOut(const std::shared_ptr<Request>& request, const Step& step) {
+    if (request->over) return;
+    if (step.what == Step::Do::answer) {
+      const auto& row = answerFor(step.error);
+      end(*request, row.notRun ? refused_ : unclear_, row.notRun);
+      return;
+    }
+    const int turn = ++request->turn;
+    auto& host = hostOf(step.to.id);
+    auto& node = *nodes_[static_cast<std::size_t>(request->node)];
+    node.loads.began(host.id);
+    if (lost("unsent")) {
+      back(request, turn, host, Outcome::unreachable, 300);
+      return;
+    }
+    if (lost("before_ingress")) {
+      back(request, turn, host, Outcome::maybeRun, 50);
+      return;
+    }
+    clock_.after(clock_.uniform(0.1, 1.2), [this, request, turn, &host, wait = step.mayWait] {
+      atIngress(request, turn, host, wait);
+    });
+  }
+
+  void atIngress(const std::shared_ptr<Request>& request, int turn, Host& host, bool mayWait) {
+    const bool closed = host.closesAt >= 0 && clock_.ms() >= host.closesAt;
+    if (host.down || closed) {
+      back(request, turn, host, Outcome::notThere, 1);
+      return;
+    }
+    Turnstile::Arrival arrival;
+    arrival.ticket = ++tickets_;
+    arrival.rank = request->rank;
+    arrival.deadline = request->deadline;
+    arrival.mayWait = mayWait;
+    switch (host.gate->arrive(arrival, clock_.now())) {
+      case Turnstile::Answer::full:
+        back(request, turn, host, Outcome::full, 1);
+        break;
+      case Turnstile::Answer::wait:
+        host.waiting[arrival.ticket] = {request, turn};
+        clock_.at(host.gate->nextDeadline() + fromMillis(1),
+                  [this, &host] { move(host, host.gate->tick(clock_.now())); });
+        break;
+      case Turnstile::Answer::run:
+        run(request, turn, host);
+        break;
+    }
+  }
+
+  void run(const std::shared_ptr<Request>& request, int turn, Host& host) {
+    if (lost("before_server")) {
+      move(host, host.gate->done(clock_.now(), Span(0)));
+      arrivals_.emplace_back(clock_.ms(), request->number);
+      back(request, turn, host, Outcome::maybeRun, 1);
+      return;
+    }
+    arrivals_.emplace_back(clock_.ms(), request->number);
+    if (lost("turned_away")) {
+      move(host, host.gate->done(clock_.now(), Span(0)));
+      back(request, turn, host, Outcome::turnedAway, 1);
+      return;
+    }
+    ++request->runs;
+    if (host.drainedAt >= 0 && clock_.ms() - host.drainedAt > number(s_, "drain_timeout", 2000)) {
+      ++afterDrain_;
+    }
+    const double mean = number(s_, "work", 200);
+    const double work =
+        std::exp(std::normal_distribution<double>(std::log(mean) - 0.125, 0.5)(clock_.random)) *
+        host.speed;
+    const int epoch = host.epoch;
+    const double began = clock_.ms();
+    clock_.after(work, [this, request, turn, &host, epoch, began] {
+      if (host.epoch != epoch) {
+        back(request, turn, host, Outcome::maybeRun, 1);
+        return;
+      }
+      const auto moves = host.gate->done(clock_.now(), fromMillis(clock_.ms() - began));
+      const int jobs = host.gate->running() + host.gate->waiting();
+      move(host, moves);
+      if (lost("after_run")) {
+        back(request, turn, host, Outcome::maybeRun, 1);
+        return;
+      }
+      clock_.after(clock_.uniform(0.1, 1.2), [this, request, turn, &host, jobs] {
+        auto& node = *nodes_[static_cast<std::size_t>(request->node)];
+        if (request->turn == turn) node.loads.ended(host.id);
+        node.loads.reported(host.id, jobs, clock_.now());
+        if (request->over || request->turn != turn) return;
+        request->over = true;
+        served_ += 1;
+        (request->rank == 0 ? highServed_ : lowServed_) += 1;
+        times_.push_back(clock_.ms() - request->began);
+      });
+    });
+  }
+
+  void move(Host& host, const Turnstile::Moves& moves) {
+    for (const auto ticket : moves.run) {
+      const auto w = host.waiting.extract(ticket);
+      if (w.empty()) continue;
+      if (w.mapped().request->over) {
+        move(host, host.gate->done(clock_.now(), Span(0)));
+      } else {
+        run(w.mapped().request, w.mapped().turn, host);
+      }
+    }
+    for (const auto ticket : moves.tooLate) {
+      const auto w = host.waiting.extract(ticket);
+      if (!w.empty()) back(w.mapped().request, w.mapped().turn, host, Outcome::full, 1);
+    }
+  }
+
+  void back(const std::shared_ptr<Request>& request, int turn, Host& host, Outcome outcome,
+            double ms) {
+    clock_.after(ms, [this, request, turn, &host, outcome] {
+      auto& node = *nodes_[static_cast<std::size_t>(request->node)];
+      if (request->turn == turn) node.loads.ended(host.id);
+      if (outcome == Outcome::unreachable || outcome == Outcome::notThere) {
+        node.loads.failed(host.id, clock_.now());
+      }
+      if (request->over || request->turn != turn) return;
+      carryOut(request, request->ascent->after(outcome, clock_.now()));
+    });
+  }
+
+  void end(Request& request, double& count, bool promise) {
+    request.over = true;
+    count += 1;
+    if (promise) promised_.insert(request.number);
+  }
+
+  bool lost(const std::string& step) {
+    for (const auto* line : linesOf(s_, "lose")) {
+      if (line->words.at(1) == step) return clock_.chance(std::stod(line->words.at(2)));
+    }
+    return false;
+  }
+
+  Host& hostOf(const InstanceId& id) {
+    for (auto& host : hosts_) {
+      if (host->id == id) return *host;
+    }
+    throw Broken{"a server was chosen that isn't there"};
+  }
+
+  void check() {
+    for (const auto& request : requests_) {
+      require(request->idempotent || request->runs <= 1, "a request that must not ran twice");
+      require(!promised_.contains(request->number) || request->runs == 0,
+              "a request was promised not to have run, and it ran");
+    }
+    std::set<int> seen;
+    for (const auto& [at, number] : arrivals_) {
+      if (!seen.insert(number).second) repeats_.push_back(at);
+    }
+    const double window = 10000;
+    for (const double end : repeats_) {
+      const auto in = [&](const std::vector<double>& list) {
+        return std::count_if(list.begin(), list.end(),
+                             [&](double t) { return t > end - window && t <= end; });
+      };
+      const double may = terms_.ratio * static_cast<double>(in(firsts_)) + terms_.slack;
+      require(static_cast<double>(in(repeats_)) <= may, "the retry budget is overdrawn");
+    }
+  }
+
+  const Scenario& s_;
+  Clock clock_;
+  trail::TollTerms terms_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::shared_ptr<Request>> requests_;
+  std::vector<double> firsts_;
+  std::vector<std::pair<double, int>> arrivals_;
+  std::vector<double> repeats_;
+  std::vector<double> times_;
+  std::set<int> promised_;
+  Turnstile::Ticket tickets_ = 0;
+  double served_ = 0;
+  double refused_ = 0;
+  double unclear_ = 0;
+  double overdue_ = 0;
+  double afterDrain_ = 0;
+  double high_ = 0;
+  double low_ = 0;
+  double highServed_ = 0;
+  double lowServed_ = 0;
+};
+
+}  // namespace
+
+void playPath(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out) {
+  PathWorld(scenario, seed).play(out);
+}
+
+}  // namespace merlin::test
--- /dev/null
+++ b/tests/world_register.cpp
@@ -0,0 +1,415 @@
+// The register under faults: voters with disks, proposers that may die, a network that delays and
+// loses. The history of calls is checked against one order of changes.
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "runner.hpp"
+#include "version/register.hpp"
+
+namespace merlin::test {
+
+using cairn::Ask;
+using cairn::Climber;
+using cairn::Ledge;
+using cairn::Reply;
+using cairn::Value;
+
+namespace {
+
+struct Machine {
+  NodeId id;
+  std::optional<Ledge> ledge;  // empty: the process is down
+  std::string disk;            // what a power cut leaves
+  bool wiped = false;
+  int life = 0;          // of the process; answers to an older one are lost
+  double hungUntil = 0;  // disk
+  bool full = false;
+  double frozenUntil = 0;
+  Value known;
+  double ahead = -1;
+};
+
+struct Call {
+  double began = 0;
+  double ended = -1;
+  bool read = false;
+  std::int64_t base = 0;
+  std::int64_t revision = 0;  // written or read
+  std::string digest;
+  enum class End { open, ok, refused, unclear } end = End::open;
+  Value seen;
+};
+
+class RegisterWorld {
+ public:
+  RegisterWorld(const Scenario& scenario, std::uint64_t seed) : s_(scenario), clock_(seed) {
+    const int n = static_cast<int>(number(s_, "nodes", 5));
+    const int voters = static_cast<int>(number(s_, "voters", n));
+    for (int i = 1; i <= n; ++i) {
+      auto machine = std::make_unique<Machine>();
+      machine->id = NodeId("n" + std::to_string(i));
+      if (i <= voters) first_.push_back(machine->id);
+      machines_.push_back(std::move(machine));
+    }
+    for (auto& m : machines_) {
+      m->known.voters = first_;
+      m->ledge.emplace(m->id, Life{clock_.random() >> 1}, true);
+      m->disk = m->ledge->save().dump();
+    }
+  }
+
+  void play(std::map<std::string, double>& out) {
+    const double length = number(s_, "length", 6000);
+    for (const auto* line : linesOf(s_, "at")) schedule(*line);
+    for (const auto* line : linesOf(s_, "random")) {
+      const int count = std::stoi(line->words.at(2));
+      for (int i = 0; i < count; ++i) {
+        clock_.after(clock_.uniform(0, length * 0.8), [this] { randomCall(); });
+      }
+    }
+    tick();
+    clock_.runUntil(length);
+    // Everything heals, and a last read must show it all.
+    healed_ = true;
+    for (auto& m : machines_) {
+      m->hungUntil = m->frozenUntil = 0;
+      m->full = false;
+      if (!m->ledge && !m->wiped) boot(*m);
+    }
+    cuts_.clear();
+    clock_.runUntil(length + 3000);
+    const auto last = startRead(*machines_[pickLive()]);
+    clock_.runUntil(length + 6000);
+    require(last->end == Call::End::ok, "the register can't be read after everything has healed");
+    check();
+    double acked = 0;
+    double reads = 0;
+    double refused = 0;
+    double unclear = 0;
+    for (const auto& call : calls_) {
+      acked += !call->read && call->end == Call::End::ok ? 1 : 0;
+      reads += call->read && call->end == Call::End::ok ? 1 : 0;
+      refused += call->end == Call::End::refused ? 1 : 0;
+      unclear += call->end == Call::End::unclear ? 1 : 0;
+    }
+    double awake = 0;
+    for (const auto& m : machines_) awake += m->ledge && m->ledge->awake() ? 1 : 0;
+    out = {{"acked", acked},
+           {"reads", reads},
+           {"refused", refused},
+           {"unclear", unclear},
+           {"awake", awake},
+           {"voters", static_cast<double>(last->seen.voters.size())},
+           {"epoch", static_cast<double>(last->seen.epoch)}};
+  }
+
+ private:
+  Machine& machine(const std::string& name) {
+    for (auto& m : machines_) {
+      if (m->id.str() == name) return *m;
+    }
+    throw Broken{"no machine " + name};
+  }
+
+  // at MS WHAT ...
+  void schedule(const Line& line) {
+    const auto& w = line.words;
+    const double at = std::stod(w.at(1));
+    clock_.after(at, [this, w] {
+      const auto& what = w.at(2);
+      if (what == "put") {  // put NODE BASE REVISION [copy]
+        startPut(machine(w.at(3)), std::stoll(w.at(4)), std::stoll(w.at(5)),
+                 w.size() > 6 ? w[6] : "");
+      } else if (what == "read") {
+        startRead(machine(w.at(3)));
+      } else if (what == "kill" || what == "power" || what == "wipe") {
+        down(machine(w.at(3)), what == "wipe", std::stod(w.at(4)));
+      } else if (what == "hang") {
+        machine(w.at(3)).hungUntil = clock_.ms() + std::stod(w.at(4));
+      } else if (what == "full") {
+        auto& m = machine(w.at(3));
+        m.full = true;
+        clock_.after(std::stod(w.at(4)), [&m] { m.full = false; });
+      } else if (what == "freeze") {
+        machine(w.at(3)).frozenUntil = clock_.ms() + std::stod(w.at(4));
+      } else if (what == "cut") {
+        const NodeId id(w.at(3));
+        cuts_.insert(id);
+        clock_.after(std::stod(w.at(4)), [this, id] { cuts_.erase(id); });
+      } else if (what == "voters") {  // voters NODE n1 n2 ...
+        std::vector<NodeId> set;
+        for (std::size_t i = 4; i < w.size(); ++i) set.emplace_back(w[i]);
+        startVoters(machine(w.at(3)), set);
+      } else if (what == "gone") {
+        auto& m = machine(w.at(3));
+        down(m, true, 1e9);
+      } else {
+        throw Broken{"no such thing to do: " + what};
+      }
+    });
+  }
+
+  void down(Machine& m, bool wipe, double forMs) {
+    ++m.life;
+    m.ledge.reset();
+    m.wiped = m.wiped || wipe;
+    if (wipe) m.disk.clear();
+    if (forMs < 1e8) {
+      clock_.after(forMs, [this, &m] {
+        if (!m.ledge) boot(m);
+      });
+    }
+  }
+
+  void boot(Machine& m) {
+    ++m.life;
+    m.known = Value{};
+    m.known.voters = first_;
+    if (!m.disk.empty()) m.ledge = Ledge::restore(m.id, nlohmann::json::parse(m.disk));
+    if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, false);
+    m.wiped = false;
+  }
+
+  std::size_t pickLive() {
+    for (int tries = 0; tries < 100; ++tries) {
+      const auto i = static_cast<std::size_t>(clock_.random() % machines_.size());
+      if (machines_[i]->ledge) return i;
+    }
+    return 0;
+  }
+
+  void randomCall() {
+    auto& m = *machines_[pickLive()];
+    if (clock_.chance(0.3)) {
+      startRead(m);
+      return;
+    }
+    // Operators build on what they last saw acknowledged, sometimes on something older.
+    const std::int64_t base =
+        clock_.chance(0.85) ? newest_ : std::max<std::int64_t>(0, newest_ - 2);
+    startPut(m, base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3), "");
+  }
+
+  std::shared_ptr<Call> startRead(Machine& m) {
+    auto call = std::make_shared<Call>();
+    call->read = true;
+    run(m, call, [](const Value&, Value&) { return Climber::Verdict{}; });
+    return call;
+  }
+
+  void startPut(Machine& m, std::int64_t base, std::int64_t revision, const std::string& copyOf) {
+    auto call = std::make_shared<Call>();
+    call->base = base;
+    call->revision = revision;
+    call->digest = copyOf.empty() ? "d" + std::to_string(++digests_) : copyOf;
+    run(m, call, [base, revision, digest = call->digest](const Value& current, Value& next) {
+      Climber::Verdict verdict;
+      for (const auto& taken : current.recent) {
+        if (taken.digest == digest) return verdict;
+      }
+      if (current.configRevision.value != base) {
+        verdict.kind = Climber::Verdict::Kind::refuse;
+        return verdict;
+      }
+      verdict.kind = Climber::Verdict::Kind::put;
+      next.configRevision = Revision{revision};
+      next.config = std::make_shared<const std::string>(digest);
+      next.recent.push_back({Revision{revision}, digest});
+      return verdict;
+    });
+  }
+
+  void startVoters(Machine& m, const std::vector<NodeId>& set) {
+    auto call = std::make_shared<Call>();
+    call->read = true;
+    run(m, call, [set](const Value& current, Value& next) {
+      Climber::Verdict verdict;
+      // Said again when done already, or out of turn: nothing to do.
+      if (current.before.empty() == set.empty() || current.voters == set) return verdict;
+      verdict.kind = Climber::Verdict::Kind::put;
+      next.epoch = current.epoch + 1;
+      next.before = current.before.empty() ? current.voters : std::vector<NodeId>{};
+      if (current.before.empty()) next.voters = set;
+      return verdict;
+    });
+  }
+
+  void run(Machine& m, std::shared_ptr<Call> call, Climber::Change change) {
+    if (!m.ledge) return;
+    call->began = clock_.ms();
+    calls_.push_back(call);
+    auto climber =
+        std::make_shared<Climber>(m.id, m.known, std::move(change), clock_.random() >> 1);
+    carry(m, call, climber, climber->start(clock_.now(), std::chrono::milliseconds(900)));
+  }
+
+  void carry(Machine& m, const std::shared_ptr<Call>& call, const std::shared_ptr<Climber>& climber,
+             const std::vector<Climber::Send>& sends) {
+    const int life = m.life;
+    for (const auto& send : sends) {
+      deliver(m.id, send.to, [this, &m, call, climber, send, life] {
+        answer(machine(send.to.str()), send.ask, [this, &m, call, climber, send, life](Reply r) {
+          deliver(send.to, m.id, [this, &m, call, climber, send, life, r] {
+            if (m.life != life || climber->result()) return;
+            // Messages cross the wire as text: what JSON drops must not be missed.
+            const auto reply = cairn::replyFrom(nlohmann::json::parse(toJson(r).dump()));
+            carry(m, call, climber, climber->reply(send.to, send.round, reply, clock_.now()));
+          });
+        });
+      });
+    }
+    if (climber->result()) {
+      finish(m, *call, *climber->result());
+      return;
+    }
+    const Instant wake = climber->wake();
+    clock_.at(wake, [this, &m, call, climber, life] {
+      if (m.life != life || climber->result()) return;
+      carry(m, call, climber, climber->tick(clock_.now()));
+    });
+  }
+
+  void finish(Machine& m, Call& call, const Climber::Result& result) {
+    if (call.ended >= 0) return;
+    call.ended = clock_.ms();
+    if (!result.known) {
+      call.end = Call::End::unclear;
+      return;
+    }
+    call.seen = result.chosen;
+    call.end = result.ok ? Call::End::ok : Call::End::refused;
+    if (call.read) call.revision = result.chosen.configRevision.value;
+    if (result.chosen.sequence > m.known.sequence) m.known = result.chosen;
+    m.ahead = -1;
+    if (call.end == Call::End::ok) newest_ = std::max(newest_, call.revision);
+  }
+
+  // A message from one machine to another: late, lost or cut off.
+  void deliver(const NodeId& from, const NodeId& to, std::function<void()> work) {
+    if (from != to) {
+      if (cuts_.contains(from) || cuts_.contains(to)) return;
+      if (!healed_ && clock_.chance(number(s_, "loss", 0))) return;
+    }
+    const auto delays = linesOf(s_, "delay");
+    const double low = delays.empty() ? 0.5 : std::stod(delays[0]->words.at(1));
+    const double high = delays.empty() ? 3 : std::stod(delays[0]->words.at(2));
+    double wait = from == to ? 0 : clock_.uniform(low, high);
+    const double frozen = machine(to.str()).frozenUntil - clock_.ms();
+    if (frozen > 0) wait += frozen;
+    clock_.after(wait, std::move(work));
+  }
+
+  // The voter's side with its disk: the reply waits for the sync of what it rests on.
+  void answer(Machine& m, const Ask& sent, std::function<void(Reply)> back) {
+    if (!m.ledge) return;
+    const auto ask = cairn::askFrom(nlohmann::json::parse(toJson(sent).dump()));
+    const auto out = m.ledge->ask(ask);
+    const int life = m.life;
+    const auto state = m.ledge->save().dump();
+    const double hung = std::max(0.0, m.hungUntil - clock_.ms());
+    clock_.after(hung + clock_.uniform(0.5, 2), [&m, life, state, out, back] {
+      if (m.life != life || m.full) return;
+      m.disk = state;
+      back(out.reply);
+    });
+  }
+
+  // Voters that sleep ask the others; values left half done are finished.
+  void tick() {
+    for (auto& owned : machines_) {
+      auto& m = *owned;
+      if (!m.ledge || m.frozenUntil > clock_.ms()) continue;
+      if (const auto ask = m.ledge->rejoinAsk()) {
+        for (const auto& voter : m.known.voters) {
+          if (voter == m.id) continue;
+          const int life = m.life;
+          deliver(m.id, voter, [this, &m, voter, ask, life] {
+            answer(machine(voter.str()), *ask, [this, &m, voter, life](Reply r) {
+              deliver(voter, m.id, [&m, voter, life, r] {
+                if (m.life == life && m.ledge) m.ledge->rejoinReply(voter, r, m.known);
+              });
+            });
+          });
+        }
+      } else if (m.ledge->value().sequence > m.known.sequence) {
+        if (m.ahead < 0) m.ahead = clock_.ms();
+        if (clock_.ms() - m.ahead > 300) {
+          m.ahead = clock_.ms();
+          startRead(m);
+        }
+      }
+    }
+    clock_.after(number(s_, "tick", 100), [this] { tick(); });
+  }
+
+  void check() {
+    std::map<std::string, double> acked;  // digest -> when acknowledged
+    for (const auto& a : calls_) {
+      if (a->read || a->end != Call::End::ok) continue;
+      for (const auto& b : calls_) {
+        const bool other = !b->read && b->end == Call::End::ok && b->digest != a->digest;
+        require(!other || b->base != a->base,
+                "two changes on version " + std::to_string(a->base) + " were both acknowledged");
+      }
+    }
+    for (const auto& a : calls_) {
+      if (a->end != Call::End::ok && a->end != Call::End::refused) continue;
+      for (const auto& b : calls_) {
+        // Whatever b shows started after a had ended: it must not be older.
+        if (b->began <= a->ended || b->end == Call::End::unclear || b->end == Call::End::open) {
+          continue;
+        }
+        require(b->seen.sequence >= a->seen.sequence, "a later call saw an older value");
+        if (a->read || a->end != Call::End::ok) continue;
+        const bool there = std::any_of(b->seen.recent.begin(), b->seen.recent.end(),
+                                       [&](const auto& t) { return t.digest == a->digest; });
+        require(there, "an acknowledged change is gone: " + a->digest);
+      }
+    }
+    std::map<std::uint64_t, std::string> chain;
+    for (const auto& call : calls_) {
+      if (call->end != Call::End::ok && call->end != Call::End::refused) continue;
+      auto& stamp = chain[call->seen.sequence];
+      require(stamp.empty() || stamp == call->seen.stamp, "two values chosen under one sequence");
+      stamp = call->seen.stamp;
+    }
+    for (const auto& a : calls_) {
+      if (a->read || a->end != Call::End::refused) continue;
+      for (const auto& b : calls_) {
+        for (const auto& taken : b->seen.recent) {
+          require(taken.digest != a->digest || sameCallTaken(*a), "a refused change is in force");
+        }
+      }
+    }
+  }
+
+  // The same call sent through two nodes: one may have been told 412 only if the other wasn't
+  // taken.
+  bool sameCallTaken(const Call& refused) const {
+    return std::any_of(calls_.begin(), calls_.end(), [&](const auto& c) {
+      return c.get() != &refused && !c->read && c->digest == refused.digest &&
+             c->began < refused.ended;
+    });
+  }
+
+  const Scenario& s_;
+  Clock clock_;
+  std::vector<NodeId> first_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  std::vector<std::shared_ptr<Call>> calls_;
+  std::set<NodeId> cuts_;
+  std::int64_t newest_ = 0;
+  int digests_ = 0;
+  bool healed_ = false;
+};
+
+}  // namespace
+
+void playRegister(const Scenario& scenario, std::uint64_t seed,
+                  std::map<std::string, double>& out) {
+  RegisterWorld(scenario, seed).play(out);
+}
+
+}  // namespace merlin::test
--- /dev/null
+++ b/tests/world_text.cpp
@@ -0,0 +1,130 @@
+// Words in, verdict out: heads and bodies, configurations, settings, the error table.
+#include <algorithm>
+
+#include "connection/framing.hpp"
+#include "errors.hpp"
+#include "process/settings.hpp"
+#include "runner.hpp"
+#include "version/chart.hpp"
+
+namespace merlin::test {
+
+namespace {
+
+std::string unescaped(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '\\' || i + 1 >= text.size()) {
+      out += text[i];
+      continue;
+    }
+    ++i;
+    out += text[i] == 'r' ? '\r' : text[i] == 'n' ? '\n' : text[i] == '0' ? '\0' : text[i];
+  }
+  return out;
+}
+
+// How a connection takes these bytes: whole, incomplete, 400, 413, 431.
+std::string requestVerdict(const std::string& bytes, std::size_t headLimit, std::size_t bodyLimit) {
+  std::size_t size = 0;
+  switch (saddle::findHead(bytes, headLimit, size)) {
+    case saddle::HeadState::incomplete:
+      return "incomplete";
+    case saddle::HeadState::tooLarge:
+      return std::to_string(answerFor(ErrorKind::headTooLarge).status);
+    case saddle::HeadState::bad:
+      return std::to_string(answerFor(ErrorKind::badFraming).status);
+    case saddle::HeadState::complete:
+      break;
+  }
+  const std::string bad = std::to_string(answerFor(ErrorKind::badFraming).status);
+  Poco::Net::HTTPRequest request;
+  const auto head = bytes.substr(0, size);
+  const auto plan =
+      saddle::strictHead(head, true) ? saddle::readRequestHead(head, request) : std::nullopt;
+  if (!plan) return bad;
+  if (plan->kind == saddle::BodyKind::length && plan->length > bodyLimit) {
+    return std::to_string(answerFor(ErrorKind::bodyTooLarge).status);
+  }
+  saddle::BodyReader reader(*plan);
+  std::string rest = bytes.substr(size);
+  std::string body;
+  std::string pending;
+  // Byte by byte: where the cuts fall must not matter.
+  for (const char c : rest) {
+    if (reader.state() == saddle::BodyReader::State::done) return "whole+";
+    pending += c;
+    reader.feed(pending, body);
+  }
+  if (reader.state() == saddle::BodyReader::State::bad) return bad;
+  return reader.state() == saddle::BodyReader::State::done ? "whole" : "incomplete";
+}
+
+}  // namespace
+
+void playText(const Scenario& scenario) {
+  int checks = 0;
+  std::string block;
+  const auto headLimit = static_cast<std::size_t>(number(scenario, "head_limit", 200));
+  const auto bodyLimit = static_cast<std::size_t>(number(scenario, "body_limit", 1000));
+  for (const auto& line : scenario.lines) {
+    const auto& w = line.words;
+    const auto rest = [&](std::size_t skip) {
+      std::size_t at = 0;
+      for (std::size_t i = 0; i < skip; ++i) at = line.text.find(w[i], at) + w[i].size();
+      const auto from = line.text.find_first_not_of(' ', at);
+      return from == std::string::npos ? std::string() : line.text.substr(from);
+    };
+    const auto told = "line " + std::to_string(line.number) + ": " + line.text;
+    if (w[0] == "request") {  // request VERDICT bytes
+      const auto verdict = requestVerdict(unescaped(rest(2)), headLimit, bodyLimit);
+      require(verdict == w[1], told + ": got " + verdict);
+      ++checks;
+    } else if (w[0] == "let") {  // let JSON: a block for the lines below
+      block = rest(1);
+    } else if (w[0] == "config" || w[0] == "settings") {
+      // config ok|WORD JSON-PATCH: the block with the patch put over it; WORD must be named.
+      auto document = nlohmann::json::parse(block);
+      const auto patch = rest(2);
+      if (!patch.empty()) document.merge_patch(nlohmann::json::parse(patch));
+      const auto problem = w[0] == "config" ? cairn::Chart::read(document).problem
+                                            : hut::parseSettings(document.dump()).problem;
+      if (w[1] == "ok") {
+        require(problem.empty(), told + ": " + problem);
+      } else {
+        require(problem.find(w[1]) != std::string::npos, told + ": got '" + problem + "'");
+      }
+      ++checks;
+    } else if (w[0] == "route") {  // route HOST PATH NAME|none, in the block's configuration
+      const auto read = cairn::Chart::read(nlohmann::json::parse(block));
+      require(read.chart != nullptr, told + ": " + read.problem);
+      const auto* route = read.chart->match(w[1], w[2]);
+      const std::string got = route == nullptr ? "none" : route->name;
+      require(got == w[3], told + ": got " + got);
+      ++checks;
+    } else if (w[0] == "update") {  // update JSON: makes a new block of the block
+      auto made = cairn::applyUpdate(nlohmann::json::parse(block), nlohmann::json::parse(rest(1)));
+      require(made.problem.empty(), told + ": " + made.problem);
+      block = made.config.dump();
+    } else if (w[0] == "split") {  // split HOST PATH DRAW SERVICE
+      const auto read = cairn::Chart::read(nlohmann::json::parse(block));
+      const auto got = read.chart->match(w[1], w[2])->pickService(std::stod(w[3])).str();
+      require(got == w[4], told + ": got " + got);
+      ++checks;
+    } else if (w[0] == "promises") {  // no row of the table may promise what it can't
+      for (int k = 0; k < static_cast<int>(ErrorKind::count_); ++k) {
+        const auto& row = answerFor(static_cast<ErrorKind>(k));
+        const bool promising =
+            row.status == 429 || row.status == 408 || row.status == 421 || row.status == 503;
+        const bool majority = static_cast<ErrorKind>(k) == ErrorKind::noMajority;
+        require(!promising || row.notRun || majority,
+                "a row promises too much: " + std::string(row.text));
+        require(row.status != 503 || row.retryAfterMs > 0, "a 503 without Retry-After");
+      }
+      ++checks;
+    }
+  }
+  require(checks > 0, "a scenario without an expectation proves nothing");
+}
+
+}  // namespace merlin::test
