--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -80,7 +80,7 @@
       [](const std::string& text) { logOf("hut").information(text); }});
   if (!settings_.egress.empty()) {
     egress_ = std::make_unique<trail::Egress>(trail::Egress::Parts{
-        bell_, meshRopes_, guestbook_, [this] { return chart_; }, settings_.service,
+        bell_, meshRopes_, guestbook_, [this] { return chart_; }, settings_.service, settings_.zone,
         settings_.ingressPort,
         trail::TollTerms{settings_.retryRatio, settings_.retrySlack, settings_.retryWindow},
         seed_ + 2});
--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -1,14 +1,26 @@
 #include "request/ascent.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace merlin::trail {
 
 namespace {
 constexpr int kMaxHops = 12;
+constexpr double kNearRoom = 0.75;     // of its slots taken: a near server has room below this
 constexpr int kTryWithoutWaiting = 2;  // then the next one may queue
 }  // namespace
 
+namespace {
+// The one exception to drawing from all: while servers in this zone have room, only they are
+// drawn from, for what crosses zones is paid for.
+void preferNear(std::vector<Candidate>& from) {
+  const auto roomy = [](const Candidate& c) { return c.near && c.jobs < kNearRoom * c.slots; };
+  if (std::none_of(from.begin(), from.end(), roomy)) return;
+  std::erase_if(from, [&](const Candidate& c) { return !roomy(c); });
+}
+}  // namespace
+
 Ascent::Ascent(Terms terms, Candidates candidates, Wayfinder& wayfinder, Toll& toll)
     : terms_(std::move(terms)),
       candidates_(std::move(candidates)),
@@ -44,6 +56,7 @@
   const bool mayWait = open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
   auto& from = open.empty() ? busy : open;
   if (from.empty()) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
+  preferNear(from);
   std::vector<Look> looks;
   looks.reserve(from.size());
   for (const auto& candidate : from) looks.push_back({candidate.jobs});
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -330,7 +330,8 @@
   std::vector<Candidate> out;
   std::vector<Candidate> shut;
   for (const auto& server : parts_.guestbook.available(service)) {
-    Candidate candidate{server.id, server.address, loads_.jobs(server.id, now), server.slots};
+    Candidate candidate{server.id, server.address, loads_.jobs(server.id, now), server.slots,
+                        server.zone == parts_.zone};
     (loads_.reachable(server.id, now) ? out : shut).push_back(std::move(candidate));
   }
   // With nobody known to be in reach, those found out of reach are worth another try.
--- a/src/request/egress.hpp
+++ b/src/request/egress.hpp
@@ -32,6 +32,7 @@
     const cairn::Guestbook& guestbook;
     std::function<cairn::Chart::Ptr()> chart;
     ServiceName callerService;
+    ZoneName zone;
     std::uint16_t ingressPort = 0;
     TollTerms toll;
     std::uint64_t seed = 0;
