--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -10,11 +10,12 @@
 using nlohmann::json;
 
 namespace {
-constexpr Span kHang = std::chrono::milliseconds(1000);
+constexpr Span kHangNear = std::chrono::milliseconds(1000);
+constexpr Span kHangFar = std::chrono::milliseconds(2000);  // bytes between zones are dear
 constexpr Span kAnswerSlack = std::chrono::milliseconds(600);
 constexpr Span kTogether = std::chrono::milliseconds(10);
 constexpr Span kRetryAfter = std::chrono::milliseconds(700);
-constexpr Span kBackFor = std::chrono::milliseconds(2500);
+constexpr Span kBackFor = std::chrono::milliseconds(3500);
 constexpr std::size_t kCoresPerSidecar = 2;
 }  // namespace
 
@@ -57,6 +58,7 @@
     if (!page.node.core && !page.node.leaving) sidecars.push_back(node);
   }
   std::set<NodeId> wanted;
+  std::set<NodeId> back;  // these are asked to pull from here in turn
   const auto known = cores();
   if (parts_.core) {
     wanted.insert(known.begin(), known.end());
@@ -65,10 +67,13 @@
     for (const auto& node : rendezvous(parts_.settings.self, known, near)) {
       if (good >= kCoresPerSidecar) break;
       wanted.insert(node);
+      // One working core carries the news on; the second is there to hear from.
+      if (good == 0) back.insert(node);
       if (working(node)) ++good;
     }
     for (const auto& node : rendezvous(parts_.settings.self, sidecars, near)) {
       wanted.insert(node);
+      back.insert(node);
       if (working(node)) break;
     }
     if (good == 0) wanted.insert(parts_.settings.seeds.begin(), parts_.settings.seeds.end());
@@ -78,8 +83,11 @@
     if (now - at < kBackFor) wanted.insert(node);
   }
   wanted.erase(parts_.settings.self);
-  for (auto& [node, link] : links_) link.wanted = wanted.contains(node);
   for (const auto& node : wanted) links_.try_emplace(node);
+  for (auto& [node, link] : links_) {
+    link.wanted = wanted.contains(node);
+    link.back = back.contains(node);
+  }
   std::erase_if(links_,
                 [](const auto& entry) { return !entry.second.wanted && !entry.second.busy; });
 }
@@ -98,15 +106,20 @@
 void Roster::pull(const NodeId& peer) {
   auto& link = links_[peer];
   link.busy = true;
+  const auto& pages = parts_.guestbook.pages();
+  const auto page = pages.find(peer);
+  const bool near = page != pages.end() && page->second.node.zone == parts_.settings.zone;
+  const Span hang = near ? kHangNear : kHangFar;
   json body = {{"f", parts_.settings.self.str()},
                {"s", parts_.known().sequence},
-               {"w", kHang.count() / 1000}};
+               {"w", hang.count() / 1000}};
+  if (link.back) body["b"] = 1;
   if (link.full) {
     body["v"] = cairn::toJson(parts_.guestbook.vector());
   } else {
     body["d"] = parts_.guestbook.digest();
   }
-  parts_.wire.post(peer, "/news", body, kHang + kAnswerSlack,
+  parts_.wire.post(peer, "/news", body, hang + kAnswerSlack,
                    [this, peer](std::optional<json> answer) {
                      auto& l = links_[peer];
                      l.busy = false;
@@ -155,9 +168,10 @@
   hanging.sequence = pull.at("s").get<std::uint64_t>();
   const auto wait = std::clamp<std::int64_t>(pull.at("w").get<std::int64_t>(), 0, 5000);
   const Instant now = parts_.bell.now();
-  const bool firstTime =
-      !pulledFromHere_.contains(hanging.from) || now - pulledFromHere_[hanging.from] > kBackFor;
-  pulledFromHere_[hanging.from] = now;
+  const bool asked = pull.contains("b");
+  const bool firstTime = asked && (!pulledFromHere_.contains(hanging.from) ||
+                                   now - pulledFromHere_[hanging.from] > kBackFor);
+  if (asked) pulledFromHere_[hanging.from] = now;
   heard_[hanging.from] = now;
   if (pull.contains("v")) {
     hanging.had = cairn::vectorFrom(pull.at("v"));
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -50,7 +50,8 @@
   struct Link {
     bool busy = false;
     bool wanted = true;
-    bool full = true;  // send the whole vector, not its digest
+    bool back = false;  // the peer is asked to pull from here too
+    bool full = true;   // send the whole vector, not its digest
     int failures = 0;
     Instant retryAt;
   };
--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 constexpr int kMaxHops = 12;
-constexpr double kNearRoom = 0.75;     // of its slots taken: a near server has room below this
+constexpr double kNearRoom = 0.9;      // of its slots taken: a near server has room below this
 constexpr int kTryWithoutWaiting = 2;  // then the next one may queue
 }  // namespace
 
