--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -48,6 +48,7 @@
     const double timeout = toMillis(route.timeout);
     const double asked = numberOf(visit_->request.get("Deadline-Ms", ""), timeout);
     deadline_ = visit_->began + fromMillis(std::clamp(asked, 0.0, timeout));
+    target_ = visit_->began + route.target;
     Terms terms;
     terms.service = route.pickService(egress_.wayfinder_.uniform());
     terms.idempotent = route.idempotent;
@@ -118,6 +119,7 @@
     request.set("Caller-Service", parts.callerService.str());
     request.set(hop::kRank, std::to_string(rank_));
     if (step.mayWait) request.set(hop::kWait, "1");
+    request.set(hop::kTarget, std::to_string((target_ - now).count() / 1000));
     if (!idempotent_) request.set(hop::kOnce, "1");
     saddle::planHeaders(visit_->plan, request);
     if (visit_->plan.kind == BodyKind::none && !visit_->request.has("Content-Length")) {
@@ -305,6 +307,7 @@
   int rank_;
   bool idempotent_;
   Instant deadline_;
+  Instant target_;
   std::unique_ptr<Ascent> ascent_;
   hut::Bell::TimerId timer_ = 0;
   Call::Ptr call_;
--- a/src/request/hop.hpp
+++ b/src/request/hop.hpp
@@ -10,6 +10,7 @@
 
 inline constexpr const char* kRank = "Hut-Rank";        // the route's priority
 inline constexpr const char* kWait = "Hut-Wait";        // 1: may queue beside the server
+inline constexpr const char* kTarget = "Hut-Target";    // milliseconds to the route's target
 inline constexpr const char* kOnce = "Hut-Once";        // 1: must not run twice
 inline constexpr const char* kRefused = "Hut-Refused";  // not passed on, and why
 inline constexpr const char* kUnclear = "Hut-Unclear";  // passed on, no whole answer
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -54,6 +54,9 @@
     arrival.ticket = ticket_;
     arrival.rank = static_cast<int>(numberOf(visit_->request.get(hop::kRank, ""), 9));
     arrival.deadline = deadline_;
+    arrival.target =
+        visit_->began +
+        fromMillis(static_cast<double>(numberOf(visit_->request.get(hop::kTarget, ""), ms)));
     arrival.mayWait = visit_->request.has(hop::kWait);
     const auto answer = gate.turnstile.arrive(arrival, now);
     if (answer == Turnstile::Answer::full) {
--- a/src/request/turnstile.cpp
+++ b/src/request/turnstile.cpp
@@ -8,6 +8,8 @@
 constexpr double kLearn = 0.05;
 // A request that can't start with so many typical runs' time left is sent away.
 constexpr double kNeeded = 1.5;
+constexpr double kTypicalRun = 1.2;
+constexpr Span kShortWait = std::chrono::milliseconds(200);
 }  // namespace
 
 Turnstile::Answer Turnstile::arrive(const Arrival& arrival, Instant now) {
@@ -19,7 +21,11 @@
   int ahead = 0;
   for (const auto& [place, waiting] : queue_) ahead += place.first <= arrival.rank ? 1 : 0;
   const double waitMs = typicalMs_ * (ahead + 1) / std::max(1, slots_);
-  const Instant latest = arrival.deadline - fromMillis(typicalMs_ * kNeeded);
+  // A queue whose every request comes out late helps nobody: wait no longer than the target
+  // allows, or a short while where even that is too late.
+  const Instant inTime = arrival.target - fromMillis(typicalMs_ * kTypicalRun);
+  const Instant latest = std::min(arrival.deadline - fromMillis(typicalMs_ * kNeeded),
+                                  std::max(inTime, now + kShortWait));
   if (now + fromMillis(waitMs) > latest) return Answer::full;
   queue_.emplace(Place{arrival.rank, ++arrivals_}, Waiting{arrival.ticket, latest});
   return Answer::wait;
--- a/src/request/turnstile.hpp
+++ b/src/request/turnstile.hpp
@@ -25,6 +25,7 @@
     Ticket ticket = 0;
     int rank = 0;          // 0 is highest
     Instant deadline;      // after this an answer is worth nothing
+    Instant target;        // up to here it is worth most
     bool mayWait = false;  // the caller has nowhere better to go
   };
   Answer arrive(const Arrival& arrival, Instant now);
--- a/tests/world_path.cpp
+++ b/tests/world_path.cpp
@@ -102,6 +102,10 @@
            {"p99", times_.empty() ? 0 : times_[times_.size() * 99 / 100]},
            {"p50", times_.empty() ? 0 : times_[times_.size() / 2]},
            {"after_drain", afterDrain_},
+           {"in_target", static_cast<double>(std::count_if(
+                             times_.begin(), times_.end(),
+                             [&](double t) { return t <= number(s_, "target", 800); })) /
+                             n},
            {"high_served", highServed_ / std::max(1.0, high_)},
            {"low_served", lowServed_ / std::max(1.0, low_)}};
   }
@@ -214,6 +218,7 @@
     arrival.ticket = ++tickets_;
     arrival.rank = request->rank;
     arrival.deadline = request->deadline;
+    arrival.target = Instant(fromMillis(request->began + number(s_, "target", 800)));
     arrival.mayWait = mayWait;
     switch (host.gate->arrive(arrival, clock_.now())) {
       case Turnstile::Answer::full:
