--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -7,19 +7,15 @@
 
 namespace {
 constexpr int kMaxHops = 12;
-// A near server has room below this share of its slots taken. Requests that move few bytes make
-// way for those that move many.
-constexpr double kNearRoom = 1.0;
-constexpr double kNearRoomSmall = 0.8;
+constexpr double kNearRoom = 0.9;      // of its slots taken: a near server has room below this
 constexpr int kTryWithoutWaiting = 2;  // then the next one may queue
 }  // namespace
 
 namespace {
 // The one exception to drawing from all: while servers in this zone have room, only they are
 // drawn from, for what crosses zones is paid for.
-void preferNear(std::vector<Candidate>& from, bool small) {
-  const double room = small ? kNearRoomSmall : kNearRoom;
-  const auto roomy = [room](const Candidate& c) { return c.near && c.jobs < room * c.slots; };
+void preferNear(std::vector<Candidate>& from) {
+  const auto roomy = [](const Candidate& c) { return c.near && c.jobs < kNearRoom * c.slots; };
   if (std::none_of(from.begin(), from.end(), roomy)) return;
   std::erase_if(from, [&](const Candidate& c) { return !roomy(c); });
 }
@@ -60,7 +56,7 @@
   const bool mayWait = open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
   auto& from = open.empty() ? busy : open;
   if (from.empty()) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
-  preferNear(from, terms_.small);
+  preferNear(from);
   std::vector<Look> looks;
   looks.reserve(from.size());
   for (const auto& candidate : from) looks.push_back({candidate.jobs});
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -38,7 +38,6 @@
   int maxAttempts = 1;
   Instant deadline;
   bool replayable = true;  // the body is still held
-  bool small = false;      // moves few bytes, compared with the others
 };
 
 struct Step {
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -24,9 +24,6 @@
 constexpr std::size_t kReplayLimit = 64 * 1024;  // request bodies up to here can be sent again
 constexpr std::size_t kHoldAnswer = 64 * 1024;   // answers up to here are held until whole
 constexpr std::size_t kPauseAbove = 256 * 1024;  // back-pressure between the two sides
-constexpr std::size_t kSizesKept = 4096;
-constexpr double kLearnSize = 0.05;
-constexpr double kSmallPart = 0.5;  // of the mean of all requests
 constexpr Span kFreshOnce = std::chrono::seconds(2);
 constexpr Span kFreshSafe = std::chrono::seconds(20);
 
@@ -43,7 +40,6 @@
   Trip(Egress& egress, Visit::Ptr visit, const cairn::Route& route)
       : egress_(egress),
         visit_(std::move(visit)),
-        routeName_(route.name),
         rank_(route.priority),
         idempotent_(route.idempotent) {}
 
@@ -58,7 +54,6 @@
     terms.idempotent = route.idempotent;
     terms.maxAttempts = route.maxAttempts;
     terms.deadline = deadline_;
-    terms.small = egress_.isSmall(route.name);
     auto& egress = egress_;
     ascent_ = std::make_unique<Ascent>(
         terms, [&egress, service = terms.service] { return egress.candidates(service); },
@@ -78,7 +73,6 @@
 
  private:
   void takeBody() {
-    moved_ += static_cast<double>(visit_->body.size());
     body_.append(visit_->body);
     visit_->body.clear();
   }
@@ -179,7 +173,6 @@
   [[nodiscard]] bool passable() const { return refusal_.empty() && !unclear_; }
 
   void answerBody(std::string& bytes) {
-    moved_ += static_cast<double>(bytes.size());
     held_.append(bytes);
     bytes.clear();
     if (!passable()) {
@@ -235,7 +228,6 @@
       visit_->piece(held_);
     }
     ++egress_.counts_.served;
-    egress_.learnSize(routeName_, moved_);
     const auto visit = visit_;
     finish();
     visit->end();
@@ -312,7 +304,6 @@
 
   Egress& egress_;
   Visit::Ptr visit_;
-  std::string routeName_;
   int rank_;
   bool idempotent_;
   Instant deadline_;
@@ -321,7 +312,6 @@
   hut::Bell::TimerId timer_ = 0;
   Call::Ptr call_;
   InstanceId at_;
-  double moved_ = 0;  // bytes of bodies, both ways
   std::string body_;
   std::string held_;
   std::unique_ptr<HTTPResponse> response_;
@@ -351,18 +341,6 @@
   return out.empty() ? shut : out;
 }
 
-void Egress::learnSize(const std::string& route, double bytes) {
-  if (sizes_.size() > kSizesKept) sizes_.clear();
-  auto& size = sizes_.try_emplace(route, bytes).first->second;
-  size += kLearnSize * (bytes - size);
-  meanSize_ += kLearnSize * (bytes - meanSize_);
-}
-
-bool Egress::isSmall(const std::string& route) const {
-  const auto it = sizes_.find(route);
-  return it != sizes_.end() && it->second < kSmallPart * meanSize_;
-}
-
 void Egress::visit(const Visit::Ptr& visit) {
   ++counts_.requests;
   const auto chart = parts_.chart();
--- a/src/request/egress.hpp
+++ b/src/request/egress.hpp
@@ -4,10 +4,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <string>
-#include <vector>
 
 #include "connection/call.hpp"
 #include "connection/guest.hpp"
@@ -50,15 +47,11 @@
  private:
   friend class Trip;
   std::vector<Candidate> candidates(const ServiceName& service);
-  void learnSize(const std::string& route, double bytes);
-  [[nodiscard]] bool isSmall(const std::string& route) const;
   Parts parts_;
   Wayfinder wayfinder_;
   Toll toll_;
   Loads loads_;
   EgressCounts counts_;
-  std::map<std::string, double> sizes_;  // bytes a request and its answer move, by route
-  double meanSize_ = 0;
   int inFlight_ = 0;
   bool refusing_ = false;
 };
