Restarted voters ask at once whether what they hold was chosen

Cause: after a power cut of everything the configuration came into force 250 ms after the third voter was back: the wait before repairing, and everybody repaired at once.

--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -15,6 +15,7 @@
 namespace {
 constexpr Span kMessageLimit = std::chrono::milliseconds(450);
 constexpr Span kRepairAfter = std::chrono::milliseconds(250);
+constexpr Span kRepairTurn = std::chrono::milliseconds(40);
 constexpr Span kRejoinEvery = std::chrono::milliseconds(250);
 constexpr Span kOwnClimb = std::chrono::milliseconds(900);
 constexpr std::size_t kFewestVoters = 3;
@@ -41,6 +42,8 @@
   }
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
+    // What it holds was probably chosen: find out as soon as the others can be asked.
+    if (ledge_->value().sequence > 0) aheadSince_ = parts_.bell.now() - kRepairAfter;
     // Only the voters are taken from it for now: whether its value was chosen is not known yet.
     if (known_.voters.empty() || known_.epoch < ledge_->value().epoch) {
       known_.voters = ledge_->value().voters;
@@ -183,6 +186,10 @@
   }
   if (!aheadSince_) aheadSince_ = now;
   if (repairing_ || now - *aheadSince_ < kRepairAfter) return;
+  // In the order of the voters, so that they don't take each other's turn.
+  const auto& voters = known_.voters;
+  const auto place = std::find(voters.begin(), voters.end(), parts_.settings.self) - voters.begin();
+  if (now - *aheadSince_ < kRepairAfter + place * kRepairTurn) return;
   repairing_ = true;
   climb([](const Value&, Value&) { return Climber::Verdict{}; }, kOwnClimb,
         [this](const Climber::Result&) {
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -7,7 +7,7 @@
 using nlohmann::json;
 
 namespace {
-constexpr Span kRoundTime = std::chrono::milliseconds(300);
+constexpr Span kRoundTime = std::chrono::milliseconds(200);
 constexpr std::uint64_t kBackOffMs = 20;
 constexpr int kBackOffSteps = 4;
 
