--- a/src/connection/framing.cpp
+++ b/src/connection/framing.cpp
@@ -311,7 +311,8 @@
 }
 
 bool wantsClose(const HTTPMessage& message) {
-  const auto& words = message.get(HTTPMessage::CONNECTION, "");
+  // A copy: Poco hands back a reference to the default given.
+  const std::string words = message.get(HTTPMessage::CONNECTION, "");
   std::istringstream stream(words);
   bool keep = false;
   for (std::string word; std::getline(stream, word, ',');) {
