--- a/src/request/turnstile.cpp
+++ b/src/request/turnstile.cpp
@@ -9,7 +9,7 @@
 // A request that can't start with so many typical runs' time left is sent away.
 constexpr double kNeeded = 1.5;
 constexpr double kTypicalRun = 1.2;
-constexpr Span kShortWait = std::chrono::milliseconds(200);
+constexpr Span kShortWait = std::chrono::milliseconds(100);
 }  // namespace
 
 Turnstile::Answer Turnstile::arrive(const Arrival& arrival, Instant now) {
