Ingresses give a sign of life; a node that gives none is avoided

Ruled out: connecting (it succeeds), load counts (each egress has its own few there). Test: the mesh of real processes, with one stopped.

--- a/src/connection/call.cpp
+++ b/src/connection/call.cpp
@@ -99,6 +99,7 @@
         fail(Failure::junk);
         return;
       }
+      if (onInterim) onInterim();
       continue;
     }
     gotHead_ = true;
@@ -168,7 +169,9 @@
 // Callbacks often hold the call's owner: let them go, but not while one of them runs.
 void Call::release() {
   bell_.later([self = shared_from_this(), a = std::move(onHead), b = std::move(onBody),
-               c = std::move(onDone), d = std::move(onFail), e = std::move(onDrain)] {});
+               c = std::move(onDone), d = std::move(onFail), e = std::move(onDrain),
+               f = std::move(onInterim)] {});
+  onInterim = nullptr;
   onHead = nullptr;
   onBody = nullptr;
   onDone = nullptr;
--- a/src/connection/call.hpp
+++ b/src/connection/call.hpp
@@ -34,6 +34,7 @@
 
   std::function<void(Poco::Net::HTTPResponse&, const BodyPlan&)> onHead;
   std::function<void(std::string&)> onBody;  // takes what it wants from the front
+  std::function<void()> onInterim;
   std::function<void()> onDone;
   std::function<void(Failure)> onFail;
   std::function<void()> onDrain;
--- a/src/connection/guest.cpp
+++ b/src/connection/guest.cpp
@@ -103,6 +103,11 @@
   answer(row.status, row.reason, text + "\n", "text/plain", headers);
 }
 
+void Visit::processing() {
+  const auto guest = guest_.lock();
+  if (guest && !over_ && !headSent_) guest->rope_->write("HTTP/1.1 102 Processing\r\n\r\n");
+}
+
 void Visit::takenBody(std::size_t held) {
   const auto guest = guest_.lock();
   if (!guest || over_) return;
--- a/src/connection/guest.hpp
+++ b/src/connection/guest.hpp
@@ -53,6 +53,8 @@
   void answer(int status, const std::string& reason, std::string_view text, const std::string& type,
               const Extra& extra = {});
   void fail(ErrorKind kind, const std::string& detail = "", const Extra& extra = {});
+  // An interim answer: taken, and being worked on.
+  void processing();
   void takenBody(std::size_t held);  // back-pressure: the owner still holds this much
 
   [[nodiscard]] bool headSent() const { return headSent_; }
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t kReplayLimit = 64 * 1024;  // request bodies up to here can be sent again
 constexpr std::size_t kHoldAnswer = 64 * 1024;   // answers up to here are held until whole
 constexpr std::size_t kPauseAbove = 256 * 1024;  // back-pressure between the two sides
+constexpr Span kSignOfLife = std::chrono::milliseconds(150);
 constexpr Span kFreshOnce = std::chrono::seconds(2);
 constexpr Span kFreshSafe = std::chrono::seconds(20);
 
@@ -56,7 +57,10 @@
     terms.deadline = deadline_;
     auto& egress = egress_;
     ascent_ = std::make_unique<Ascent>(
-        terms, [&egress, service = terms.service] { return egress.candidates(service); },
+        terms,
+        [&egress, service = terms.service, once = !route.idempotent] {
+          return egress.candidates(service, once);
+        },
         egress_.wayfinder_, egress_.toll_);
     ++egress_.inFlight_;
     const auto self = shared_from_this();
@@ -142,6 +146,7 @@
     call_->onHead = [self](HTTPResponse& response, const BodyPlan& plan) {
       self->answerHead(response, plan);
     };
+    call_->onInterim = [self] { self->signOfLife(); };
     call_->onBody = [self](std::string& bytes) { self->answerBody(bytes); };
     call_->onDone = [self] { self->answerDone(); };
     call_->onFail = [self](Call::Failure failure) { self->callFailed(failure); };
@@ -151,10 +156,33 @@
     call_->body(body_);
     if (visit_->bodyDone) call_->bodyEnd();
     if (!replayable_) body_.clear();
+    parts.bell.cancel(lifeTimer_);
+    lifeTimer_ = parts.bell.after(kSignOfLife, [self] {
+      self->lifeTimer_ = 0;
+      self->noSignOfLife();
+    });
+  }
+
+  void signOfLife() {
+    egress_.parts_.bell.cancel(lifeTimer_);
+    lifeTimer_ = 0;
+  }
+
+  // The node there has taken the bytes and says nothing, not even that it is at work: it stands
+  // still. What may run twice goes elsewhere, the rest can only wait.
+  void noSignOfLife() {
+    if (over_ || !call_) return;
+    egress_.loads_.failed(at_, egress_.parts_.bell.now());
+    if (!idempotent_) return;
+    const bool sent = call_->maybeSent();
+    call_->cancel();
+    call_ = nullptr;
+    failed(sent ? Outcome::maybeRun : Outcome::unreachable);
   }
 
   void answerHead(HTTPResponse& response, const BodyPlan& plan) {
     answered_ = true;
+    signOfLife();
     response_ = std::make_unique<HTTPResponse>(response.getVersion(), response.getStatus(),
                                                response.getReason());
     saddle::copyHeaders(response, *response_, hop::ours);
@@ -235,6 +263,7 @@
 
   void callFailed(Call::Failure failure) {
     call_ = nullptr;
+    signOfLife();
     uncount();
     egress_.loads_.failed(at_, egress_.parts_.bell.now());
     if (streaming_) {
@@ -292,6 +321,7 @@
     over_ = true;
     uncount();
     egress_.parts_.bell.cancel(timer_);
+    signOfLife();
     if (call_) call_->cancel();
     call_ = nullptr;
     --egress_.inFlight_;
@@ -310,6 +340,7 @@
   Instant target_;
   std::unique_ptr<Ascent> ascent_;
   hut::Bell::TimerId timer_ = 0;
+  hut::Bell::TimerId lifeTimer_ = 0;
   Call::Ptr call_;
   InstanceId at_;
   std::string body_;
@@ -328,14 +359,16 @@
 Egress::Egress(Parts parts)
     : parts_(std::move(parts)), wayfinder_(parts_.seed), toll_(parts_.toll) {}
 
-std::vector<Candidate> Egress::candidates(const ServiceName& service) {
+std::vector<Candidate> Egress::candidates(const ServiceName& service, bool once) {
   const Instant now = parts_.bell.now();
   std::vector<Candidate> out;
   std::vector<Candidate> shut;
   for (const auto& server : parts_.guestbook.available(service)) {
     Candidate candidate{server.id, server.address, loads_.jobs(server.id, now), server.slots,
                         server.zone == parts_.zone};
-    (loads_.reachable(server.id, now) ? out : shut).push_back(std::move(candidate));
+    const bool open =
+        loads_.reachable(server.id, now) && !(once && loads_.doubtful(server.id, now));
+    (open ? out : shut).push_back(std::move(candidate));
   }
   // With nobody known to be in reach, those found out of reach are worth another try.
   return out.empty() ? shut : out;
--- a/src/request/egress.hpp
+++ b/src/request/egress.hpp
@@ -46,7 +46,7 @@
 
  private:
   friend class Trip;
-  std::vector<Candidate> candidates(const ServiceName& service);
+  std::vector<Candidate> candidates(const ServiceName& service, bool once);
   Parts parts_;
   Wayfinder wayfinder_;
   Toll toll_;
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -69,6 +69,7 @@
     visit_->onGone = [self] { self->callerLeft(); };
     visit_->onDrain = [self] { self->pace(); };
     takeBody();
+    visit_->processing();
     if (answer == Turnstile::Answer::run) {
       run();
       return;
--- a/src/request/loads.cpp
+++ b/src/request/loads.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr double kForgetSeconds = 1.0;  // a report loses its weight over about this long
 constexpr double kShutFirstMs = 200;
+constexpr Span kDoubt = std::chrono::seconds(2);
 constexpr double kShutMostMs = 3000;
 }  // namespace
 
@@ -40,6 +41,11 @@
   return it == books_.end() || it->second.shutUntil <= now;
 }
 
+bool Loads::doubtful(const InstanceId& id, Instant now) const {
+  const auto it = books_.find(id);
+  return it != books_.end() && it->second.failures > 0 && now < it->second.shutUntil + kDoubt;
+}
+
 double Loads::jobs(const InstanceId& id, Instant now) const {
   const auto it = books_.find(id);
   if (it == books_.end()) return 0;
--- a/src/request/loads.hpp
+++ b/src/request/loads.hpp
@@ -17,6 +17,8 @@
   void failed(const InstanceId& id, Instant now);
   void worked(const InstanceId& id);
   [[nodiscard]] bool reachable(const InstanceId& id, Instant now) const;
+  // Failed lately and not seen to work since: not for what can't be sent twice.
+  [[nodiscard]] bool doubtful(const InstanceId& id, Instant now) const;
   [[nodiscard]] double jobs(const InstanceId& id, Instant now) const;
   void forget(const InstanceId& id) { books_.erase(id); }
   [[nodiscard]] std::size_t size() const { return books_.size(); }
--- a/tests/mesh.cpp
+++ b/tests/mesh.cpp
@@ -195,7 +195,9 @@
           {"internal_port_range", {kInner, kInner + 5}},
           {"seed_nodes",
            {at("127.91.0.1", kControl), at("127.91.0.2", kControl), at("127.91.0.3", kControl)}}}},
-        {"policy_terms", {{"timing_bounds", {{"drain_timeout_s", 1}, {"grace_period_s", 6}}}}}};
+        {"policy_terms",
+         {{"timing_bounds",
+           {{"drain_timeout_s", 1}, {"grace_period_s", 6}, {"retry_budget_slack", 60}}}}}};
     if (!core) {
       settings["self_node"]["app_address"] = at(ip, kApp);
       settings["self_node"]["target_service"] = ip == "127.91.0.11" ? "front" : "echo";
@@ -222,6 +224,8 @@
     return status;
   }
 
+  void pause(const std::string& ip, bool on) { ::kill(running_.at(ip), on ? SIGSTOP : SIGCONT); }
+
   void wipe(const std::string& ip) { std::filesystem::remove_all(folder_ / ip); }
 
  private:
@@ -235,8 +239,12 @@
                       {"path_prefix", prefix}, {"route_type", "non_idempotent"},
                       {"timeout_s", 2},        {"target_service", "echo"},
                       {"max_attempts", 2}};
+  json safe = route;
+  safe["name"] = "safe";
+  safe["path_prefix"] = "/safe/";
+  safe["route_type"] = "idempotent";
   return json{{"revision", revision},
-              {"route_rules", {route}},
+              {"route_rules", json::array({route, safe})},
               {"services", {{{"name", "echo"}}, {{"name", "front"}}}}}
       .dump();
 }
@@ -261,8 +269,9 @@
   const std::vector<std::string> cores = {"127.91.0.1", "127.91.0.2", "127.91.0.3"};
   const std::string front = "127.91.0.11";
   const std::string back = "127.91.0.12";
+  const std::string other = "127.91.0.13";
   for (const auto& ip : cores) mesh.start(ip, true, true);
-  for (const auto& ip : {front, back}) mesh.start(ip, false, true);
+  for (const auto& ip : {front, back, other}) mesh.start(ip, false, true);
   eventually("a node without a configuration is not ready",
              [&] { return call(at(front, kReady), "GET", "/v1/readiness").status == 503; });
   const auto put = [&](const std::string& ip, int base, const std::string& body) {
@@ -309,6 +318,28 @@
           "with its own caller, path and body, and nothing of ours");
   require(reply.headers["Response-Seal"] == "sealed", "the seal comes back");
   for (const auto& [id, runs] : app.runs()) require(runs == 1, "it ran once");
+  {
+    App second(other, "i-2");
+    second.beat("available");
+    const auto safe = [&](const std::string& id) {
+      return call(at(front, kEgress), "GET", "/safe/1",
+                  {{"Host", "echo.example"}, {"Attempt-Id", id}});
+    };
+    eventually("a second server takes its part", [&] {
+      app.beat("available");
+      second.beat("available");
+      safe("s0");
+      return second.runs().contains("s0");
+    });
+    mesh.pause(other, true);
+    int served = 0;
+    for (int i = 0; i < 10; ++i) served += safe("f" + std::to_string(i)).status == 200 ? 1 : 0;
+    require(served == 10, "with its node frozen, repeatable requests are all served elsewhere");
+    mesh.pause(other, false);
+    eventually("its leave is acknowledged", [&] {
+      return call(at(other, kControl), "POST", "/v1/Instances.Deregister/i-2").status == 200;
+    });
+  }
   const auto smuggled =
       raw(at(front, kEgress),
           "POST /a/1 HTTP/1.1\r\nHost: echo.example\r\nAttempt-Id: t2\r\nContent-Length: "
