--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -6,16 +6,18 @@
 namespace merlin::trail {
 
 namespace {
+constexpr double kNearQueue = 1.3;  // the same where it has to queue
 constexpr int kMaxHops = 12;
 constexpr double kNearRoom = 0.9;      // of its slots taken: a near server has room below this
+constexpr int kQueueRefusals = 3;      // so many can't queue it in time: nor can the others
 constexpr int kTryWithoutWaiting = 2;  // then the next one may queue
 }  // namespace
 
 namespace {
 // The one exception to drawing from all: while servers in this zone have room, only they are
 // drawn from, for what crosses zones is paid for.
-void preferNear(std::vector<Candidate>& from) {
-  const auto roomy = [](const Candidate& c) { return c.near && c.jobs < kNearRoom * c.slots; };
+void preferNear(std::vector<Candidate>& from, double room) {
+  const auto roomy = [room](const Candidate& c) { return c.near && c.jobs < room * c.slots; };
   if (std::none_of(from.begin(), from.end(), roomy)) return;
   std::erase_if(from, [&](const Candidate& c) { return !roomy(c); });
 }
@@ -46,17 +48,20 @@
 Step Ascent::next(Instant now) {
   if (now >= terms_.deadline) return giveUp(ErrorKind::timeUp);
   if (++hops_ > kMaxHops) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
-  auto all = candidates_();
-  std::vector<Candidate> open;
-  std::vector<Candidate> busy;
-  for (auto& candidate : all) {
+  std::vector<Candidate> open;   // neither tried nor known to be full
+  std::vector<Candidate> queue;  // whatever may still be asked to queue it
+  for (auto& candidate : candidates_()) {
     if (avoid_.contains(candidate.id)) continue;
-    (full_.contains(candidate.id) ? busy : open).push_back(std::move(candidate));
+    if (!full_.contains(candidate.id) && candidate.jobs < candidate.slots)
+      open.push_back(candidate);
+    queue.push_back(std::move(candidate));
   }
   const bool mayWait = open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
-  auto& from = open.empty() ? busy : open;
-  if (from.empty()) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
-  preferNear(from);
+  auto& from = mayWait ? queue : open;
+  if (from.empty() || queueRefusals_ >= kQueueRefusals) {
+    return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
+  }
+  preferNear(from, mayWait ? kNearQueue : kNearRoom);
   std::vector<Look> looks;
   looks.reserve(from.size());
   for (const auto& candidate : from) looks.push_back({candidate.jobs});
@@ -78,6 +83,7 @@
       anyFull_ = true;
       // One that refused even to queue it is out of the question.
       (lastMayWait_ ? avoid_ : full_).insert(last_);
+      queueRefusals_ += lastMayWait_ ? 1 : 0;
       break;
     case Outcome::notThere:
     case Outcome::unreachable:
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -73,6 +73,7 @@
   InstanceId last_;
   int arrivals_ = 0;  // servers that may have seen it
   int hops_ = 0;
+  int queueRefusals_ = 0;
   bool lastMayWait_ = false;
   bool anyRun_ = false;
   bool anyFull_ = false;
