A short near queue is taken before any far server; no leaks at the end

Also: pending messages of the wire held themselves in a circle and leaked at the end (leak sanitizer under the mesh test).

--- a/src/process/wire.cpp
+++ b/src/process/wire.cpp
@@ -25,46 +25,59 @@
       port_(port),
       ropes_(bell, {std::chrono::milliseconds(500), std::chrono::seconds(15), 4}) {}
 
+struct Wire::Pending {
+  Raw raw;
+  Call::Ptr call;
+  Bell::TimerId timer = 0;
+  std::function<void(std::optional<Raw>)> answer;
+};
+
+Wire::~Wire() {
+  for (auto& [id, pending] : pending_) pending->call->cancel();
+}
+
+void Wire::finish(std::uint64_t id, bool ok) {
+  auto node = pending_.extract(id);
+  if (node.empty()) return;
+  const auto pending = node.mapped();
+  bell_.cancel(pending->timer);
+  pending->call->cancel();
+  pending->answer(ok ? std::make_optional(std::move(pending->raw)) : std::nullopt);
+}
+
 void Wire::pass(const Poco::Net::SocketAddress& to, const HTTPRequest& request,
                 const std::string& body, Span limit,
                 std::function<void(std::optional<Raw>)> answer) {
-  struct State {
-    Raw raw;
-    Call::Ptr call;
-    Bell::TimerId timer = 0;
-    std::function<void(std::optional<Raw>)> answer;
-  };
-  auto state = std::make_shared<State>();
-  state->answer = std::move(answer);
+  const auto id = ++lastId_;
+  const auto pending = std::make_shared<Pending>();
+  pending_[id] = pending;
+  pending->answer = std::move(answer);
   HTTPRequest out = request;
   const BodyKind kind = body.empty() ? BodyKind::none : BodyKind::length;
   saddle::planHeaders({kind, body.size()}, out);
-  const auto finish = [this, state](bool ok) {
-    if (!state->answer) return;
-    bell_.cancel(state->timer);
-    const auto tell = std::move(state->answer);
-    state->answer = nullptr;
-    if (state->call) state->call->cancel();
-    state->call = nullptr;
-    tell(ok ? std::make_optional(std::move(state->raw)) : std::nullopt);
-  };
-  state->call = ropes_.call(to, out, kind, kFreshness);
-  state->call->onHead = [state](HTTPResponse& response, const BodyPlan&) {
-    state->raw.status = response.getStatus();
-    state->raw.reason = response.getReason();
-    state->raw.type = response.get(HTTPMessage::CONTENT_TYPE, "");
+  auto& call = pending->call;
+  call = ropes_.call(to, out, kind, kFreshness);
+  const std::weak_ptr<Pending> weak = pending;
+  call->onHead = [weak](HTTPResponse& response, const BodyPlan&) {
+    const auto p = weak.lock();
+    if (!p) return;
+    p->raw.status = response.getStatus();
+    p->raw.reason = response.getReason();
+    p->raw.type = response.get(HTTPMessage::CONTENT_TYPE, "");
   };
-  state->call->onBody = [state, finish](std::string& bytes) {
-    state->raw.body.append(bytes);
+  call->onBody = [this, id, weak](std::string& bytes) {
+    const auto p = weak.lock();
+    if (!p) return;
+    p->raw.body.append(bytes);
     bytes.clear();
-    if (state->raw.body.size() > kAnswerLimit) finish(false);
+    if (p->raw.body.size() > kAnswerLimit) finish(id, false);
   };
-  state->call->onDone = [finish] { finish(true); };
-  state->call->onFail = [finish](Call::Failure) { finish(false); };
-  state->timer = bell_.after(limit, [finish] { finish(false); });
+  call->onDone = [this, id] { finish(id, true); };
+  call->onFail = [this, id](Call::Failure) { finish(id, false); };
+  pending->timer = bell_.after(limit, [this, id] { finish(id, false); });
   if (kind != BodyKind::none) {
-    state->call->body(body);
-    state->call->bodyEnd();
+    call->body(body);
+    call->bodyEnd();
   }
 }
 
--- a/src/process/wire.hpp
+++ b/src/process/wire.hpp
@@ -1,7 +1,10 @@
 // wire: JSON messages between the nodes, as HTTP posts to their internal port.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -17,6 +20,9 @@
  public:
   using Answer = std::function<void(std::optional<nlohmann::json>)>;
   Wire(Bell& bell, std::uint16_t port);
+  ~Wire();
+  Wire(const Wire&) = delete;
+  Wire& operator=(const Wire&) = delete;
   void post(const NodeId& to, const std::string& path, const nlohmann::json& body, Span limit,
             Answer answer);
   // Hands a caller's request on to another address and its answer back.
@@ -30,9 +36,13 @@
             const std::string& body, Span limit, std::function<void(std::optional<Raw>)> answer);
 
  private:
+  struct Pending;
+  void finish(std::uint64_t id, bool ok);
   Bell& bell_;
   std::uint16_t port_;
   saddle::Ropes ropes_;
+  std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
+  std::uint64_t lastId_ = 0;
 };
 
 // Collects the whole body of a visit, then calls `then`.
--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -6,7 +6,8 @@
 namespace merlin::trail {
 
 namespace {
-constexpr double kNearQueue = 1.3;  // the same where it has to queue
+constexpr double kNearQueue = 1.5;   // the same where it has to queue
+constexpr double kNearFirst = 1.25;  // a near queue so short is taken before any way out
 constexpr int kMaxHops = 12;
 constexpr double kNearRoom = 0.9;      // of its slots taken: a near server has room below this
 constexpr int kQueueRefusals = 3;      // so many can't queue it in time: nor can the others
@@ -56,7 +57,12 @@
       open.push_back(candidate);
     queue.push_back(std::move(candidate));
   }
-  const bool mayWait = open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
+  const auto briefly = [](const Candidate& c) { return c.near && c.jobs < kNearFirst * c.slots; };
+  const bool nearOpen =
+      std::any_of(open.begin(), open.end(), [](const Candidate& c) { return c.near; });
+  const bool nearBrief = !nearOpen && std::any_of(queue.begin(), queue.end(), briefly);
+  const bool mayWait =
+      nearBrief || open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
   auto& from = mayWait ? queue : open;
   if (from.empty() || queueRefusals_ >= kQueueRefusals) {
     return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
