--- a/src/connection/framing.cpp
+++ b/src/connection/framing.cpp
@@ -331,4 +331,8 @@
   }
 }
 
+void planHeaders(const BodyPlan& plan, const HTTPRequest& from, HTTPRequest& to) {
+  if (plan.kind != BodyKind::none || from.has(HTTPMessage::CONTENT_LENGTH)) planHeaders(plan, to);
+}
+
 }  // namespace merlin::saddle
--- a/src/connection/framing.hpp
+++ b/src/connection/framing.hpp
@@ -67,5 +67,8 @@
 
 bool wantsClose(const Poco::Net::HTTPMessage& message);
 void planHeaders(const BodyPlan& plan, Poco::Net::HTTPMessage& message);
+// The same for a request passed on: no length where the caller gave none.
+void planHeaders(const BodyPlan& plan, const Poco::Net::HTTPRequest& from,
+                 Poco::Net::HTTPRequest& to);
 
 }  // namespace merlin::saddle
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -125,10 +125,7 @@
     if (step.mayWait) request.set(hop::kWait, "1");
     request.set(hop::kTarget, std::to_string((target_ - now).count() / 1000));
     if (!idempotent_) request.set(hop::kOnce, "1");
-    saddle::planHeaders(visit_->plan, request);
-    if (visit_->plan.kind == BodyKind::none && !visit_->request.has("Content-Length")) {
-      request.erase("Content-Length");
-    }
+    saddle::planHeaders(visit_->plan, visit_->request, request);
     Poco::Net::SocketAddress to;
     try {
       const Poco::Net::SocketAddress server(step.to.address);
@@ -267,10 +264,7 @@
     uncount();
     egress_.loads_.failed(at_, egress_.parts_.bell.now());
     if (streaming_) {
-      ++egress_.counts_.failed;
-      const auto visit = visit_;
-      finish();
-      visit->cut();
+      cutShort();
       return;
     }
     failed(failure == Call::Failure::notSent ? Outcome::unreachable : Outcome::maybeRun);
@@ -293,14 +287,19 @@
     visit->fail(kind);
   }
 
+  // The answer has begun and can't be ended.
+  void cutShort() {
+    ++egress_.counts_.failed;
+    const auto visit = visit_;
+    finish();
+    visit->cut();
+  }
+
   void timeUp() {
     if (over_) return;
     const bool sent = call_ != nullptr && call_->maybeSent();
     if (streaming_) {
-      ++egress_.counts_.failed;
-      const auto visit = visit_;
-      finish();
-      visit->cut();
+      cutShort();
       return;
     }
     refuse(ascent_->atDeadline(sent));
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -143,10 +143,7 @@
     saddle::copyHeaders(visit_->request, request, hop::dropAtIngress);
     const auto left = (deadline_ - parts.bell.now()).count() / 1000;
     request.set("Deadline-Ms", std::to_string(std::max<std::int64_t>(1, left)));
-    saddle::planHeaders(visit_->plan, request);
-    if (visit_->plan.kind == BodyKind::none && !visit_->request.has("Content-Length")) {
-      request.erase("Content-Length");
-    }
+    saddle::planHeaders(visit_->plan, visit_->request, request);
     call_ = parts.ropes.call(Poco::Net::SocketAddress(parts.appAddress), request, visit_->plan.kind,
                              freshness);
     const auto self = shared_from_this();
