--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -21,7 +21,8 @@
   std::string address;
   double jobs = 0;
   int slots = 1;
-  bool near = true;  // in this node's zone
+  bool near = true;      // in this node's zone
+  double typicalMs = 0;  // how long a request runs there, 0 if not known
 };
 
 enum class Outcome : std::uint8_t {
