--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -8,7 +8,6 @@
 namespace {
 constexpr double kNearQueue = 1.5;   // the same where it has to queue
 constexpr double kNearFirst = 1.25;  // a near queue so short is taken before any way out
-constexpr double kNearSlow = 2.0;
 constexpr int kMaxHops = 12;
 constexpr double kNearRoom = 0.9;      // of its slots taken: a near server has room below this
 constexpr int kQueueRefusals = 3;      // so many can't queue it in time: nor can the others
@@ -19,14 +18,7 @@
 // The one exception to drawing from all: while servers in this zone have room, only they are
 // drawn from, for what crosses zones is paid for.
 void preferNear(std::vector<Candidate>& from, double room) {
-  // A near server that has turned slow has no claim to be preferred.
-  double quickest = 0;
-  for (const auto& c : from) {
-    if (c.typicalMs > 0 && (quickest == 0 || c.typicalMs < quickest)) quickest = c.typicalMs;
-  }
-  const auto roomy = [room, quickest](const Candidate& c) {
-    return c.near && c.jobs < room * c.slots && c.typicalMs <= kNearSlow * quickest;
-  };
+  const auto roomy = [room](const Candidate& c) { return c.near && c.jobs < room * c.slots; };
   if (std::none_of(from.begin(), from.end(), roomy)) return;
   std::erase_if(from, [&](const Candidate& c) { return !roomy(c); });
 }
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -21,8 +21,7 @@
   std::string address;
   double jobs = 0;
   int slots = 1;
-  bool near = true;      // in this node's zone
-  double typicalMs = 0;  // how long a request runs there, 0 if not known
+  bool near = true;  // in this node's zone
 };
 
 enum class Outcome : std::uint8_t {
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -190,9 +190,8 @@
     if (!load.empty()) {
       // `ended` first: the load told is without the request that it answers.
       uncount();
-      const auto comma = load.rfind(',');
       egress_.loads_.reported(at_, numberOf(load.substr(0, load.find(',')), 0),
-                              numberOf(load.substr(comma + 1), 0), egress_.parts_.bell.now());
+                              egress_.parts_.bell.now());
     }
   }
 
@@ -364,12 +363,8 @@
   std::vector<Candidate> out;
   std::vector<Candidate> shut;
   for (const auto& server : parts_.guestbook.available(service)) {
-    Candidate candidate{server.id,
-                        server.address,
-                        loads_.jobs(server.id, now),
-                        server.slots,
-                        server.zone == parts_.zone,
-                        loads_.typicalMs(server.id)};
+    Candidate candidate{server.id, server.address, loads_.jobs(server.id, now), server.slots,
+                        server.zone == parts_.zone};
     const bool open =
         loads_.reachable(server.id, now) && !(once && loads_.doubtful(server.id, now));
     (open ? out : shut).push_back(std::move(candidate));
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -108,8 +108,7 @@
     if (it == ingress_.gates_.end()) return "0,1";
     const auto& turnstile = it->second.turnstile;
     return std::to_string(turnstile.running() + turnstile.waiting()) + "," +
-           std::to_string(turnstile.slots()) + "," +
-           std::to_string(turnstile.typical().count() / 1000);
+           std::to_string(turnstile.slots());
   }
 
   void takeBody() {
@@ -176,8 +175,7 @@
       const auto& turnstile = it->second.turnstile;
       out.set(hop::kLoad,
               std::to_string(std::max(0, turnstile.running() + turnstile.waiting() - 1)) + "," +
-                  std::to_string(turnstile.slots()) + "," +
-                  std::to_string(turnstile.typical().count() / 1000));
+                  std::to_string(turnstile.slots()));
     }
     streaming_ = true;
     visit_->head(out, plan);
--- a/src/request/loads.cpp
+++ b/src/request/loads.cpp
@@ -17,15 +17,9 @@
   book.own = std::max(0, book.own - 1);
 }
 
-double Loads::typicalMs(const InstanceId& id) const {
-  const auto it = books_.find(id);
-  return it == books_.end() ? 0 : it->second.typicalMs;
-}
-
-void Loads::reported(const InstanceId& id, double jobs, double typicalMs, Instant now) {
+void Loads::reported(const InstanceId& id, double jobs, Instant now) {
   auto& book = books_[id];
   book.others = std::max(0.0, jobs - book.own);
-  book.typicalMs = typicalMs;
   book.at = now;
 }
 
--- a/src/request/loads.hpp
+++ b/src/request/loads.hpp
@@ -13,9 +13,7 @@
   void began(const InstanceId& id) { ++books_[id].own; }
   void ended(const InstanceId& id);
   // `jobs` running and waiting at the server, the reporter's own included.
-  void reported(const InstanceId& id, double jobs, double typicalMs, Instant now);
-  // How long a request typically runs there; 0 if not told yet.
-  [[nodiscard]] double typicalMs(const InstanceId& id) const;
+  void reported(const InstanceId& id, double jobs, Instant now);
   void failed(const InstanceId& id, Instant now);
   void worked(const InstanceId& id);
   [[nodiscard]] bool reachable(const InstanceId& id, Instant now) const;
@@ -29,7 +27,6 @@
   struct Book {
     int own = 0;
     double others = 0;
-    double typicalMs = 0;
     Instant at;
     int failures = 0;
     Instant shutUntil;
--- a/tests/world_path.cpp
+++ b/tests/world_path.cpp
@@ -273,7 +273,7 @@
       clock_.after(clock_.uniform(0.1, 1.2), [this, request, turn, &host, jobs] {
         auto& node = *nodes_[static_cast<std::size_t>(request->node)];
         if (request->turn == turn) node.loads.ended(host.id);
-        node.loads.reported(host.id, jobs, toMillis(host.gate->typical()), clock_.now());
+        node.loads.reported(host.id, jobs, clock_.now());
         if (request->over || request->turn != turn) return;
         request->over = true;
         served_ += 1;
