One time for bytes, one look at the zone, plainer answers of a voter

Read again: the time that a large value takes stood in the register and in the council; whether a near server has room stood three times in the picker's caller, its constants out of order; the voter set one field in blocks of their own; an unused look-up of the climber is gone.

--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -111,9 +111,8 @@
       ask(send.ask, back);
       continue;
     }
-    const Span size(
-        send.ask.value.config ? static_cast<std::int64_t>(send.ask.value.config->size()) * 4 : 0);
-    parts_.wire.post(send.to, "/register", toJson(send.ask), kMessageLimit + size,
+    parts_.wire.post(send.to, "/register", toJson(send.ask),
+                     kMessageLimit + cairn::extraTime(send.ask.value),
                      [back](std::optional<json> answer) {
                        if (!answer) return;
                        try {
--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -6,21 +6,24 @@
 namespace merlin::trail {
 
 namespace {
-constexpr double kNearQueue = 1.5;   // the same where it has to queue
-constexpr double kNearFirst = 1.25;  // a near queue so short is taken before any way out
 constexpr int kMaxHops = 12;
-constexpr double kNearRoom = 0.9;      // of its slots taken: a near server has room below this
 constexpr int kQueueRefusals = 3;      // so many can't queue it in time: nor can the others
 constexpr int kTryWithoutWaiting = 2;  // then the next one may queue
-}  // namespace
+// A near server has room below this share of its slots,
+constexpr double kNearRoom = 0.9;
+constexpr double kNearFirst = 1.25;  // before a far server is asked,
+constexpr double kNearQueue = 1.5;   // where the request has to queue anyway.
+
+bool hasNear(const std::vector<Candidate>& list, double room) {
+  return std::any_of(list.begin(), list.end(),
+                     [room](const auto& c) { return c.hasRoomNear(room); });
+}
 
-namespace {
 // The one exception to drawing from all: while servers in this zone have room, only they are
 // drawn from, for what crosses zones is paid for.
 void preferNear(std::vector<Candidate>& from, double room) {
-  const auto roomy = [room](const Candidate& c) { return c.near && c.jobs < room * c.slots; };
-  if (std::none_of(from.begin(), from.end(), roomy)) return;
-  std::erase_if(from, [&](const Candidate& c) { return !roomy(c); });
+  if (!hasNear(from, room)) return;
+  std::erase_if(from, [room](const auto& c) { return !c.hasRoomNear(room); });
 }
 }  // namespace
 
@@ -53,14 +56,13 @@
   std::vector<Candidate> queue;  // whatever may still be asked to queue it
   for (auto& candidate : candidates_()) {
     if (avoid_.contains(candidate.id)) continue;
-    if (!full_.contains(candidate.id) && candidate.jobs < candidate.slots)
+    if (!full_.contains(candidate.id) && candidate.jobs < candidate.slots) {
       open.push_back(candidate);
+    }
     queue.push_back(std::move(candidate));
   }
-  const auto briefly = [](const Candidate& c) { return c.near && c.jobs < kNearFirst * c.slots; };
-  const bool nearOpen =
-      std::any_of(open.begin(), open.end(), [](const Candidate& c) { return c.near; });
-  const bool nearBrief = !nearOpen && std::any_of(queue.begin(), queue.end(), briefly);
+  // Whoever is open has fewer jobs than slots.
+  const bool nearBrief = !hasNear(open, 1.0) && hasNear(queue, kNearFirst);
   const bool mayWait =
       nearBrief || open.empty() || static_cast<int>(full_.size()) >= kTryWithoutWaiting;
   auto& from = mayWait ? queue : open;
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -22,6 +22,7 @@
   double jobs = 0;
   int slots = 1;
   bool near = true;  // in this node's zone
+  [[nodiscard]] bool hasRoomNear(double room) const { return near && jobs < room * slots; }
 };
 
 enum class Outcome : std::uint8_t {
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -153,7 +153,7 @@
     call_->body(body_);
     if (visit_->bodyDone) call_->bodyEnd();
     if (!replayable_) body_.clear();
-    parts.bell.cancel(lifeTimer_);
+    signOfLife();
     lifeTimer_ = parts.bell.after(kSignOfLife, [self] {
       self->lifeTimer_ = 0;
       self->noSignOfLife();
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -11,11 +11,6 @@
 constexpr std::uint64_t kBackOffMs = 20;
 constexpr int kBackOffSteps = 4;
 
-// A large value takes longer to send, read and write.
-Span sizeTime(const Value& value) {
-  return Span(value.config ? static_cast<std::int64_t>(value.config->size()) * 4 : 0);
-}
-
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
   for (const auto& node : nodes) out.push_back(node.str());
@@ -29,6 +24,8 @@
 }
 }  // namespace
 
+Span extraTime(std::size_t bytes) { return Span(static_cast<std::int64_t>(bytes) * 4); }
+
 bool Value::isVoter(const NodeId& node) const {
   return std::find(voters.begin(), voters.end(), node) != voters.end();
 }
@@ -173,8 +170,8 @@
   }
 }
 
-Reply Ledge::answer(bool ok) const {
-  return {ok, !awake_, life_, promised_, accepted_, value_, false};
+Reply Ledge::answer(bool ok, bool same) const {
+  return {ok, !awake_, life_, promised_, accepted_, value_, same};
 }
 
 // False where the life named is over.
@@ -192,11 +189,7 @@
     case Ask::Kind::prepare:
       if (ask.ballot < promised_) return {answer(false), false};
       promised_ = ask.ballot;
-      {
-        Out out{answer(true), true};
-        out.reply.same = !ask.have.empty() && ask.have == value_.stamp;
-        return out;
-      }
+      return {answer(true, !ask.have.empty() && ask.have == value_.stamp), true};
     case Ask::Kind::accept: {
       if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
       for (const auto& [node, life] : ask.lives) {
@@ -210,11 +203,7 @@
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
-      {
-        Out out{answer(true), true};
-        out.reply.same = true;  // the asker wrote it
-        return out;
-      }
+      return {answer(true, true), true};  // the asker wrote it
     }
     case Ask::Kind::rejoin:
       if (!learnLife(ask.from, ask.life)) return {answer(false), false};
@@ -302,8 +291,6 @@
   return askMore();
 }
 
-const Value& Climber::best() const { return bestValue_; }
-
 std::vector<Climber::Send> Climber::askMore() {
   std::vector<Send> out;
   for (const auto* voters : {&bestValue_.voters, &bestValue_.before}) {
@@ -377,7 +364,7 @@
   }
   accepting_ = true;
   ++round_;  // a promise that comes late must not count as an acceptance
-  roundEnds_ = now + kRoundTime + sizeTime(next_);
+  roundEnds_ = now + kRoundTime + extraTime(next_);
   Ask ask;
   ask.kind = Ask::Kind::accept;
   ask.from = self_;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -44,6 +44,12 @@
   [[nodiscard]] bool isVoter(const NodeId& node) const;
 };
 
+// A large value takes longer to send, read and write: what each round of it may take more.
+Span extraTime(std::size_t bytes);
+inline Span extraTime(const Value& value) {
+  return extraTime(value.config ? value.config->size() : 0);
+}
+
 nlohmann::json toJson(const Ballot& ballot);
 Ballot ballotFrom(const nlohmann::json& j);
 nlohmann::json toJson(const Value& value);
@@ -100,7 +106,7 @@
   [[nodiscard]] Life life() const { return life_; }
 
  private:
-  [[nodiscard]] Reply answer(bool ok) const;
+  [[nodiscard]] Reply answer(bool ok, bool same = false) const;
   bool learnLife(const NodeId& node, Life life);
 
   NodeId self_;
@@ -153,7 +159,6 @@
   std::vector<Send> promised(Instant now);
   std::vector<Send> backOff(Instant now);
   void accepted();
-  [[nodiscard]] const Value& best() const;
   [[nodiscard]] bool everySame() const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
