--- a/src/connection/call.cpp
+++ b/src/connection/call.cpp
@@ -30,11 +30,13 @@
 Call::Call(Ropes& ropes, hut::Bell& bell, std::string key)
     : ropes_(ropes), bell_(bell), key_(std::move(key)) {}
 
-void Call::begin(Rope::Ptr rope, const std::string& head, BodyKind kind, bool toHead, bool reused) {
+void Call::begin(Rope::Ptr rope, const HTTPRequest& request, BodyKind kind, bool reused) {
   rope_ = std::move(rope);
+  attempt_ = request.get("Attempt-Id", "");
   kind_ = kind;
-  toHead_ = toHead;
+  toHead_ = request.getMethod() == "HEAD";
   reused_ = reused;
+  if (reused) idled_ = bell_.now() - rope_->idleSince;
   sentAll_ = kind == BodyKind::none;
   maybeSent_ = rope_->opened();
   const std::weak_ptr<Call> weak = weak_from_this();
@@ -52,7 +54,7 @@
     if (const auto self = weak.lock()) self->ended(end);
   };
   ++rope_->served;
-  rope_->write(head);
+  rope_->write(wireHead(request));
 }
 
 void Call::body(std::string_view bytes) {
@@ -102,6 +104,11 @@
       if (onInterim) onInterim();
       continue;
     }
+    // Surplus or late bytes of another exchange: nothing on this connection can be trusted now.
+    if (!attempt_.empty() && response.get("Attempt-Id", "") != attempt_) {
+      fail(Failure::junk);
+      return;
+    }
     gotHead_ = true;
     keep_ = !wantsClose(response) && plan->kind != BodyKind::untilClose;
     keepSeconds_ = keepAliveSeconds(response);
@@ -183,16 +190,17 @@
 // ---- Ropes
 
 Call::Ptr Ropes::call(const Poco::Net::SocketAddress& to, const HTTPRequest& request, BodyKind kind,
-                      Span freshness) {
-  const std::string key = to.toString();
+                      Span freshness, const std::string& life) {
+  std::string key = to.toString();
+  if (!life.empty()) key.append("|").append(life);
   Call::Ptr call(new Call(*this, bell_, key));
   auto rope = take(key, freshness);
   const bool reused = rope != nullptr;
   if (!reused) {
-    rope = Rope::dial(bell_, to, config_.connectLimit);
+    rope = Rope::dial(bell_, to, config_.connectLimit, config_.silentPeerMs);
     ++dialled_;
   }
-  call->begin(rope, wireHead(request), kind, request.getMethod() == "HEAD", reused);
+  call->begin(rope, request, kind, reused);
   return call;
 }
 
@@ -208,8 +216,13 @@
       last.rope->drop();
       continue;
     }
-    // The newest is the freshest: if it is too old for this call, so are the others.
-    if (now - last.rope->idleSince > freshness) return nullptr;
+    // The newest is the freshest: if it is too old for this call, so are the others. The oldest
+    // makes room for the new one, so that their number doesn't grow.
+    if (now - last.rope->idleSince > freshness) {
+      list.front().rope->drop();
+      list.erase(list.begin());
+      return nullptr;
+    }
     list.pop_back();
     if (last.rope->quiet()) return last.rope;
     last.rope->drop();
@@ -261,11 +274,4 @@
   if (sweeping_) bell_.after(std::chrono::seconds(2), [this] { sweep(); });
 }
 
-void Ropes::forget(const Poco::Net::SocketAddress& to) {
-  const auto it = kept_.find(to.toString());
-  if (it == kept_.end()) return;
-  for (auto& kept : it->second) kept.rope->drop();
-  kept_.erase(it);
-}
-
 }  // namespace merlin::saddle
--- a/src/connection/call.hpp
+++ b/src/connection/call.hpp
@@ -29,7 +29,7 @@
     stale,    // a kept connection was closed before any answer: it may have been read
     unclear,  // sent, and no whole answer head came
     cut,      // the answer began and did not end
-    junk,     // what came is no answer
+    junk,     // what came is no answer, or one to another request
   };
 
   std::function<void(Poco::Net::HTTPResponse&, const BodyPlan&)> onHead;
@@ -46,11 +46,13 @@
   [[nodiscard]] std::size_t unsent() const { return rope_ ? rope_->unsent() : 0; }
   // The connection is up, so bytes may have reached the other side.
   [[nodiscard]] bool maybeSent() const { return maybeSent_; }
+  // How long the connection had lain idle before this call; negative for a new one.
+  [[nodiscard]] Span idled() const { return idled_; }
 
  private:
   friend class Ropes;
   Call(Ropes& ropes, hut::Bell& bell, std::string key);
-  void begin(Rope::Ptr rope, const std::string& head, BodyKind kind, bool toHead, bool reused);
+  void begin(Rope::Ptr rope, const Poco::Net::HTTPRequest& request, BodyKind kind, bool reused);
   void data();
   void ended(Rope::End end);
   void done();
@@ -60,6 +62,7 @@
   Ropes& ropes_;
   hut::Bell& bell_;
   std::string key_;
+  std::string attempt_;  // the answer must repeat it
   Rope::Ptr rope_;
   BodyKind kind_ = BodyKind::none;
   BodyReader reader_;
@@ -73,6 +76,7 @@
   bool keep_ = true;
   bool over_ = false;
   int keepSeconds_ = -1;
+  Span idled_{-1};
 };
 
 // Kept connections by address.
@@ -82,13 +86,14 @@
     Span connectLimit = std::chrono::milliseconds(800);
     Span keepIdle = std::chrono::seconds(20);
     std::size_t maxIdle = 64;
+    int silentPeerMs = 0;  // after so long without a sign of the other kernel it ends; 0: as usual
   };
   Ropes(hut::Bell& bell, Config config) : bell_(bell), config_(config) {}
 
-  // `freshness`: a kept connection idle for longer isn't used for this call.
+  // `freshness`: a kept connection idle for longer isn't used for this call, but gives way to a
+  // new one. `life` is whom the connection belongs to: it serves nobody else at that address.
   Call::Ptr call(const Poco::Net::SocketAddress& to, const Poco::Net::HTTPRequest& request,
-                 BodyKind kind, Span freshness);
-  void forget(const Poco::Net::SocketAddress& to);
+                 BodyKind kind, Span freshness, const std::string& life = "");
   [[nodiscard]] std::uint64_t dialled() const { return dialled_; }
 
  private:
--- a/src/connection/guest.cpp
+++ b/src/connection/guest.cpp
@@ -14,13 +14,25 @@
 namespace {
 constexpr std::size_t kBodyHold = 256 * 1024;
 constexpr int kBacklog = 512;
+constexpr std::size_t kAhead = 8;  // so many requests of one connection may run at once
 }  // namespace
 
 // ---- Visit
 
 std::size_t Visit::unsent() const {
   const auto guest = guest_.lock();
-  return guest ? guest->rope_->unsent() : 0;
+  if (!guest) return 0;
+  return guest->isFront(this) ? guest->rope_->unsent() : ahead_.size();
+}
+
+void Visit::write(std::string_view bytes) {
+  const auto guest = guest_.lock();
+  if (!guest) return;
+  if (guest->isFront(this)) {
+    guest->rope_->write(bytes);
+  } else {
+    ahead_.append(bytes);
+  }
 }
 
 void Visit::head(HTTPResponse& response, const BodyPlan& answerPlan) {
@@ -29,7 +41,9 @@
   headSent_ = true;
   answerPlan_ = answerPlan;
   toHead_ = request.getMethod() == "HEAD";
-  if (guest->reception_->closing || wantsClose(request) ||
+  // While stopping, the last answer that is owed says so.
+  const bool last = guest->visits_.empty() || guest->visits_.back().get() == this;
+  if ((guest->reception_->closing && last) || wantsClose(request) ||
       answerPlan.kind == BodyKind::untilClose || !bodyDone) {
     closeAfter_ = true;
   }
@@ -43,7 +57,7 @@
     planHeaders(answerPlan_, response);
   }
   if (closeAfter_) response.set(HTTPMessage::CONNECTION, "close");
-  guest->rope_->write(wireHead(response));
+  write(wireHead(response));
 }
 
 void Visit::piece(std::string_view bytes) {
@@ -51,7 +65,7 @@
   if (!guest || over_ || toHead_) return;
   std::string wire;
   appendBody(answerPlan_.kind, bytes, wire);
-  guest->rope_->write(wire);
+  write(wire);
 }
 
 void Visit::end() {
@@ -60,16 +74,16 @@
   over_ = true;
   std::string wire;
   if (!toHead_) appendBodyEnd(answerPlan_.kind, wire);
-  guest->rope_->write(wire);
-  guest->visitOver(closeAfter_);
+  write(wire);
+  if (guest->isFront(this)) guest->visitOver();
 }
 
 void Visit::cut() {
   const auto guest = guest_.lock();
   if (!guest || over_) return;
   over_ = true;
-  // An answer that runs to the close would look whole after an orderly end: reset it instead.
-  guest->ended();
+  cut_ = true;
+  if (guest->isFront(this)) guest->visitOver();
 }
 
 void Visit::answer(int status, const std::string& reason, std::string_view text,
@@ -77,6 +91,7 @@
   HTTPResponse response(HTTPMessage::HTTP_1_1, static_cast<HTTPResponse::HTTPStatus>(status),
                         reason);
   if (!type.empty()) response.set(HTTPMessage::CONTENT_TYPE, type);
+  if (const auto id = request.get("Attempt-Id", ""); !id.empty()) response.set("Attempt-Id", id);
   for (const auto& [name, value] : extra) response.set(name, value);
   BodyPlan whole{text.empty() ? BodyKind::none : BodyKind::length, text.size()};
   head(response, whole);
@@ -87,9 +102,6 @@
 void Visit::fail(ErrorKind kind, const std::string& detail, const Extra& extra) {
   const auto& row = answerFor(kind);
   Extra headers = extra;
-  if (const auto id = request.get("Attempt-Id", ""); !id.empty()) {
-    headers.emplace_back("Attempt-Id", id);
-  }
   bool told = false;
   for (const auto& header : extra) told = told || header.first == "Retry-After";
   if (row.retryAfterMs > 0 && !told) {
@@ -105,7 +117,7 @@
 
 void Visit::processing() {
   const auto guest = guest_.lock();
-  if (guest && !over_ && !headSent_) guest->rope_->write("HTTP/1.1 102 Processing\r\n\r\n");
+  if (guest && !over_ && !headSent_) write("HTTP/1.1 102 Processing\r\n\r\n");
 }
 
 void Visit::takenBody(std::size_t held) {
@@ -126,7 +138,9 @@
   };
   rope_->onDrain = [weak = weak_from_this()] {
     const auto self = weak.lock();
-    if (self && self->visit_ && self->visit_->onDrain) self->visit_->onDrain();
+    if (self && !self->visits_.empty() && self->visits_.front()->onDrain) {
+      self->visits_.front()->onDrain();
+    }
   };
   rope_->onEnd = [weak = weak_from_this()](Rope::End) {
     if (const auto self = weak.lock()) self->ended();
@@ -141,7 +155,7 @@
     const auto self = weak.lock();
     if (!self) return;
     self->timer_ = 0;
-    if (self->visit_) return;
+    if (!self->visits_.empty()) return;
     if (self->rope_->in.empty()) {
       self->drop();
     } else {
@@ -158,9 +172,9 @@
   const auto hold = shared_from_this();
   bell_.cancel(timer_);
   rope_->drop();
-  if (visit_) {
-    const auto visit = visit_;
-    visit_ = nullptr;
+  const auto visits = std::move(visits_);
+  visits_.clear();
+  for (const auto& visit : visits) {
     --reception_->visits;
     const bool early = !visit->over_;
     visit->over_ = true;
@@ -174,12 +188,13 @@
   const auto hold = shared_from_this();
   advancing_ = true;
   while (!over_) {
-    if (visit_) {
-      if (!visit_->bodyDone) {
-        feedBody();
-      } else if (rope_->in.size() > kBodyHold) {
-        rope_->read(false);  // pipelined requests wait their turn
-      }
+    if (!visits_.empty() && !visits_.back()->bodyDone) {
+      feedBody();
+      if (visits_.empty() || !visits_.back()->bodyDone) break;
+      continue;
+    }
+    if (!mayReadOn()) {
+      if (rope_->in.size() > kBodyHold) rope_->read(false);  // they wait their turn
       break;
     }
     if (rope_->in.empty() || !beginVisit()) break;
@@ -187,6 +202,21 @@
   advancing_ = false;
 }
 
+bool Guest::isFront(const Visit* visit) const {
+  return !visits_.empty() && visits_.front().get() == visit;
+}
+
+// Behind an answer that closes, or one that has to wait for its turn, nothing is read.
+bool Guest::mayReadOn() const {
+  if (visits_.empty()) return true;
+  if (!reception_->mayRunAhead || reception_->closing || visits_.size() >= kAhead) return false;
+  const auto& last = *visits_.back();
+  if (last.closeAfter_ || !last.started_ || wantsClose(last.request)) return false;
+  std::size_t held = rope_->unsent();
+  for (const auto& visit : visits_) held += visit->ahead_.size();
+  return held < kBodyHold;
+}
+
 bool Guest::beginVisit() {
   const auto& limits = reception_->limits;
   std::size_t size = 0;
@@ -195,7 +225,7 @@
   if (rope_->in.empty()) return false;
   switch (findHead(rope_->in, limits.headBytes, size)) {
     case HeadState::incomplete:
-      if (!inHead_) armTimer(limits.headerTime, true);
+      if (!inHead_ && visits_.empty()) armTimer(limits.headerTime, true);
       return false;
     case HeadState::tooLarge:
       refuse(ErrorKind::headTooLarge);
@@ -225,7 +255,7 @@
   visit->guest_ = weak_from_this();
   reader_ = BodyReader(*plan);
   bodySeen_ = 0;
-  visit_ = visit;
+  visits_.push_back(visit);
   ++reception_->visits;
   ++rope_->served;
   if (plan->kind != BodyKind::none && visit->request.getExpectContinue()) {
@@ -239,12 +269,17 @@
     refuse(state == BodyReader::State::bad ? ErrorKind::badFraming : ErrorKind::bodyTooLarge);
     return false;
   }
-  reception_->onVisit(visit);
+  if (isFront(visit.get()) || reception_->mayRunAhead(*visit)) begun(visit);
   return true;
 }
 
+void Guest::begun(const Visit::Ptr& visit) {
+  visit->started_ = true;
+  reception_->onVisit(visit);
+}
+
 void Guest::feedBody() {
-  const auto visit = visit_;
+  const auto visit = visits_.back();
   const auto before = visit->body.size();
   const auto state = reader_.feed(rope_->in, visit->body);
   bodySeen_ += visit->body.size() - before;
@@ -265,33 +300,59 @@
 
 void Guest::refuse(ErrorKind kind) {
   if (reception_->onRefused) reception_->onRefused(kind);
-  auto visit = visit_;
-  if (!visit) {
+  auto visit = visits_.empty() ? nullptr : visits_.back();
+  if (!visit || (visit->started_ && visit->bodyDone)) {
     visit = std::make_shared<Visit>();
     visit->guest_ = weak_from_this();
     visit->request.setVersion(HTTPMessage::HTTP_1_1);
-    visit_ = visit;
+    visits_.push_back(visit);
     ++reception_->visits;
   }
   visit->closeAfter_ = true;
   visit->fail(kind);
 }
 
-void Guest::visitOver(bool close) {
-  if (over_ || !visit_) return;
+// The answer whose turn it was is whole: on to those that wait behind it.
+void Guest::visitOver() {
   const auto hold = shared_from_this();
-  bell_.later([v = std::move(visit_)] {});
-  visit_ = nullptr;
-  --reception_->visits;
-  if (close) {
-    over_ = true;
-    bell_.cancel(timer_);
-    rope_->finish();
-    if (onGone_) onGone_();
-    return;
+  while (!over_ && !visits_.empty() && visits_.front()->over_) {
+    const auto visit = visits_.front();
+    rope_->write(visit->ahead_);
+    visit->ahead_.clear();
+    if (visit->cut_) {
+      // An answer that runs to the close would look whole after an orderly end: reset it instead.
+      ended();
+      return;
+    }
+    visits_.pop_front();
+    --reception_->visits;
+    bell_.later([visit] {});
+    if (visit->closeAfter_) {
+      bell_.cancel(timer_);
+      over_ = true;
+      // What was sent behind it counts as unread: whatever runs of it ends here.
+      const auto behind = std::move(visits_);
+      visits_.clear();
+      rope_->finish();
+      for (const auto& other : behind) {
+        --reception_->visits;
+        const bool early = !other->over_;
+        other->over_ = true;
+        if (early && other->onGone) other->onGone();
+      }
+      if (onGone_) onGone_();
+      return;
+    }
+    if (visits_.empty()) continue;
+    const auto next = visits_.front();
+    rope_->write(next->ahead_);
+    next->ahead_.clear();
+    if (!next->started_ && !next->over_) begun(next);
+    if (!next->over_ && next->onDrain) next->onDrain();
   }
+  if (over_) return;
   rope_->read(true);
-  armTimer(reception_->limits.idleTime, false);
+  if (visits_.empty()) armTimer(reception_->limits.idleTime, false);
   if (!rope_->in.empty()) {
     bell_.later([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->advance();
--- a/src/connection/guest.hpp
+++ b/src/connection/guest.hpp
@@ -1,5 +1,6 @@
 // guest: the server side of HTTP. One Guest is one connection of a caller, one Visit one request
-// on it and its answer. Requests on a connection are served one after the other.
+// on it and its answer. Requests that come before earlier ones are answered may run at once, if
+// whoever serves them allows it; answers keep the order of the requests.
 #pragma once
 
 #include <Poco/Net/HTTPRequest.h>
@@ -7,6 +8,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -63,7 +65,11 @@
 
  private:
   friend class Guest;
+  void write(std::string_view bytes);
   std::weak_ptr<Guest> guest_;
+  std::string ahead_;     // written before it is this answer's turn
+  bool started_ = false;  // handed to whoever serves it
+  bool cut_ = false;
   BodyPlan answerPlan_;
   bool headSent_ = false;
   bool over_ = false;
@@ -77,6 +83,8 @@
   bool closing = false;  // answers carry Connection: close
   std::function<void(const Visit::Ptr&)> onVisit;
   std::function<void(ErrorKind)> onRefused;
+  // May this one run before those ahead of it on its connection are answered? Unset: never.
+  std::function<bool(const Visit&)> mayRunAhead;
   int visits = 0;  // being served now
 };
 
@@ -86,7 +94,7 @@
   Guest(hut::Bell& bell, Rope::Ptr rope, std::shared_ptr<Reception> reception);
   void start(std::function<void()> onGone);
   void drop();
-  [[nodiscard]] bool idle() const { return !visit_ && rope_->in.empty(); }
+  [[nodiscard]] bool idle() const { return visits_.empty() && rope_->in.empty(); }
 
  private:
   friend class Visit;
@@ -94,14 +102,17 @@
   bool beginVisit();
   void feedBody();
   void refuse(ErrorKind kind);
-  void visitOver(bool close);
+  void visitOver();
+  void begun(const Visit::Ptr& visit);
+  [[nodiscard]] bool isFront(const Visit* visit) const;
+  [[nodiscard]] bool mayReadOn() const;
   void armTimer(Span wait, bool inHead);
   void ended();
 
   hut::Bell& bell_;
   Rope::Ptr rope_;
   std::shared_ptr<Reception> reception_;
-  Visit::Ptr visit_;
+  std::deque<Visit::Ptr> visits_;  // in the order of their requests; the last may still be coming
   BodyReader reader_;
   std::uint64_t bodySeen_ = 0;
   std::function<void()> onGone_;
--- a/src/connection/rope.cpp
+++ b/src/connection/rope.cpp
@@ -30,7 +30,8 @@
   }
 }
 
-Rope::Ptr Rope::dial(hut::Bell& bell, const Poco::Net::SocketAddress& to, Span connectLimit) {
+Rope::Ptr Rope::dial(hut::Bell& bell, const Poco::Net::SocketAddress& to, Span connectLimit,
+                     int silentPeerMs) {
   Poco::Net::StreamSocket socket;
   bool failed = false;
   try {
@@ -43,7 +44,7 @@
     bell.later([rope] { rope->ended(End::connectFailed); });
     return rope;
   }
-  rope->join();
+  rope->join(silentPeerMs);
   rope->timer_ = bell.after(connectLimit, [weak = std::weak_ptr<Rope>(rope)] {
     if (const auto self = weak.lock()) {
       self->timer_ = 0;
@@ -55,15 +56,16 @@
 
 Rope::Ptr Rope::take(hut::Bell& bell, const Poco::Net::StreamSocket& socket) {
   Ptr rope(new Rope(bell, socket, State::open));
-  rope->join();
+  rope->join(0);
   return rope;
 }
 
-void Rope::join() {
+void Rope::join(int silentPeerMs) {
   try {
     socket_.setBlocking(false);
     socket_.setNoDelay(true);
-    socket_.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, kSilentPeerMs);
+    socket_.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      silentPeerMs > 0 ? silentPeerMs : kSilentPeerMs);
   } catch (const Poco::Exception&) {
     // Without these the connection is slower to notice a silent peer, not wrong.
   }
--- a/src/connection/rope.hpp
+++ b/src/connection/rope.hpp
@@ -21,7 +21,8 @@
   using Ptr = std::shared_ptr<Rope>;
   enum class End : std::uint8_t { closed, reset, connectFailed };
 
-  static Ptr dial(hut::Bell& bell, const Poco::Net::SocketAddress& to, Span connectLimit);
+  static Ptr dial(hut::Bell& bell, const Poco::Net::SocketAddress& to, Span connectLimit,
+                  int silentPeerMs = 0);
   static Ptr take(hut::Bell& bell, const Poco::Net::StreamSocket& socket);
   ~Rope();
 
@@ -48,7 +49,7 @@
  private:
   enum class State : std::uint8_t { dialling, open, finishing, gone };
   Rope(hut::Bell& bell, const Poco::Net::StreamSocket& socket, State state);
-  void join();
+  void join(int silentPeerMs);
   void ready(int mode);
   void readSome();
   void flush();
--- a/src/errors.cpp
+++ b/src/errors.cpp
@@ -18,6 +18,7 @@
     {412, "Precondition Failed", "another version is in place", true, false, 0},
     {503, "Service Unavailable", "no majority of the core answered", false, false, 200},
     {503, "Service Unavailable", "this node has no configuration yet", true, false, 200},
+    {503, "Service Unavailable", "no such route here, and this node may be behind", true, false, 200},
     {503, "Service Unavailable", "no server can be reached", true, false, 150},
     {503, "Service Unavailable", "all servers are busy", true, false, 150},
     {503, "Service Unavailable", "no server came free in time", true, false, 100},
--- a/src/errors.hpp
+++ b/src/errors.hpp
@@ -18,6 +18,7 @@
   otherVersion,
   noMajority,
   noConfig,
+  behind,
   noServer,
   overloaded,
   timeUp,
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -13,17 +13,24 @@
 using nlohmann::json;
 
 namespace {
-constexpr Span kMessageLimit = std::chrono::milliseconds(450);
+constexpr Span kRejoinLimit = std::chrono::milliseconds(2000);
+constexpr double kRoundOfOneCoreMs = 10;  // small machines take longer to answer
+constexpr double kRoundMostMs = 500;
 constexpr Span kRepairAfter = std::chrono::milliseconds(250);
 constexpr Span kRepairTurn = std::chrono::milliseconds(40);
 constexpr Span kRejoinEvery = std::chrono::milliseconds(250);
 constexpr Span kOwnClimb = std::chrono::milliseconds(900);
-constexpr std::size_t kFewestVoters = 3;
+constexpr std::size_t kFewestVoters = 3;  // and never below 2f + 1
 }  // namespace
 
+Span Council::roundTime() const {
+  const double slow = kRoundOfOneCoreMs / std::max(parts_.settings.processor, 0.001);
+  return Climber::kRound + fromMillis(std::min(slow, kRoundMostMs));
+}
+
 struct Council::Climb {
-  Climb(NodeId self, Value basis, Climber::Change change, std::uint64_t seed)
-      : climber(std::move(self), std::move(basis), std::move(change), seed) {}
+  Climb(NodeId self, Value basis, Climber::Change change, std::uint64_t seed, Span round)
+      : climber(std::move(self), std::move(basis), std::move(change), seed, round) {}
   Climber climber;
   Told told;
   Bell::TimerId timer = 0;
@@ -36,12 +43,10 @@
     std::sort(known_.voters.begin(), known_.voters.end());
   }
   if (parts_.cellar == nullptr) return;
-  if (const auto saved = parts_.cellar->load()) {
-    const auto parsed = json::parse(*saved, nullptr, false);
-    if (!parsed.is_discarded()) ledge_ = Ledge::restore(settings.self, parsed);
-  }
+  if (const auto saved = parts_.cellar->load()) ledge_ = Ledge::restore(settings.self, *saved);
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
+    shelf_.put(ledge_->value().config);
     // What it holds was probably chosen: find out as soon as the others can be asked.
     if (ledge_->value().sequence > 0) aheadSince_ = parts_.bell.now() - kRepairAfter;
     // Only the voters are taken from it for now: whether its value was chosen is not known yet.
@@ -60,9 +65,24 @@
 
 Value Council::basis() const { return known_; }
 
+const std::string& Council::knownFor(std::uint64_t has) {
+  if (knownTextOf_ != known_.sequence) {
+    knownTexts_.clear();
+    knownTextOf_ = known_.sequence;
+  }
+  // Texts that this node doesn't have come to the same.
+  const std::uint64_t base = has != 0 && shelf_.find(has) ? has : 0;
+  auto& text = knownTexts_[base];
+  if (text.empty()) text = toJson(known_, base, &shelf_).dump();
+  return text;
+}
+
+std::uint64_t Council::textId() const { return known_.config ? known_.config->id() : 0; }
+
 void Council::learn(const Value& value) {
   if (value.sequence <= known_.sequence) return;
   known_ = value;
+  shelf_.put(known_.config);
   parts_.chosen(known_);
 }
 
@@ -73,6 +93,7 @@
     return;
   }
   auto out = ledge_->ask(ask);
+  shelf_.put(ledge_->value().config);
   const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
     if (!ok) {
       dirty_ = true;
@@ -84,7 +105,7 @@
   };
   if (out.sync || dirty_) {
     dirty_ = false;
-    parts_.cellar->save(ledge_->save().dump(), done);
+    parts_.cellar->save(ledge_->save(), done);
   } else {
     parts_.cellar->after(done);
   }
@@ -96,7 +117,8 @@
     told(Climber::Result{});
     return;
   }
-  auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_());
+  auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_(),
+                                       roundTime());
   climb->told = std::move(told);
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
@@ -111,12 +133,12 @@
       ask(send.ask, back);
       continue;
     }
-    parts_.wire.post(send.to, "/register", toJson(send.ask),
-                     kMessageLimit + cairn::extraTime(send.ask.value),
-                     [back](std::optional<json> answer) {
+    parts_.wire.post(send.to, "/register", toJson(send.ask, &shelf_),
+                     2 * roundTime() + cairn::extraTime(send.ask.value),
+                     [this, back](std::optional<json> answer) {
                        if (!answer) return;
                        try {
-                         back(cairn::replyFrom(*answer));
+                         back(cairn::replyFrom(*answer, &shelf_));
                        } catch (const std::exception&) {
                          // A foreign answer counts as none.
                        }
@@ -161,15 +183,16 @@
   others.insert(known_.before.begin(), known_.before.end());
   others.erase(parts_.settings.self);
   for (const auto& other : others) {
-    parts_.wire.post(other, "/register", toJson(*question), kMessageLimit,
+    parts_.wire.post(other, "/register", toJson(*question), kRejoinLimit,
                      [this, other](std::optional<json> answer) {
                        if (!answer || ledge_->awake()) return;
                        try {
-                         const auto reply = cairn::replyFrom(*answer);
+                         const auto reply = cairn::replyFrom(*answer, &shelf_);
                          if (!ledge_->rejoinReply(other, reply, known_)) return;
                        } catch (const std::exception&) {
                          return;
                        }
+                       shelf_.put(ledge_->value().config);
                        parts_.log("promises read from the other voters, voting again");
                        dirty_ = true;  // saved with the first answer that rests on it
                      });
@@ -201,14 +224,18 @@
   if (changingVoters_ || known_.voters.empty()) return;
   std::vector<NodeId> voters = known_.voters;
   if (known_.before.empty()) {
-    const auto newcomer = std::find_if(live.begin(), live.end(),
-                                       [&](const NodeId& node) { return !known_.isVoter(node); });
+    // Both sets must agree to the step, so it may add any number.
+    std::vector<NodeId> newcomers;
+    for (const auto& node : live) {
+      if (!known_.isVoter(node)) newcomers.push_back(node);
+    }
     const auto dead = std::find_if(voters.begin(), voters.end(),
                                    [&](const NodeId& node) { return lost.contains(node); });
-    if (newcomer != live.end()) {
-      voters.push_back(*newcomer);
+    if (!newcomers.empty()) {
+      voters.insert(voters.end(), newcomers.begin(), newcomers.end());
       std::sort(voters.begin(), voters.end());
-    } else if (dead != voters.end() && voters.size() > kFewestVoters) {
+    } else if (dead != voters.end() &&
+               voters.size() > std::max(kFewestVoters, 2 * parts_.settings.tolerance + 1)) {
       voters.erase(dead);
     } else {
       return;
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -42,6 +43,10 @@
   void keepVoters(const std::set<NodeId>& live, const std::set<NodeId>& lost);
 
   [[nodiscard]] const cairn::Value& known() const { return known_; }
+  // The same as JSON for a reader that has the text `has`; made once.
+  [[nodiscard]] const std::string& knownFor(std::uint64_t has);
+  [[nodiscard]] std::uint64_t textId() const;
+  [[nodiscard]] const cairn::Shelf& shelf() const { return shelf_; }
   [[nodiscard]] bool voter() const { return ledge_ && known_.isVoter(parts_.settings.self); }
   [[nodiscard]] bool awake() const { return ledge_ && ledge_->awake(); }
   [[nodiscard]] bool diskTrouble() const { return dirty_; }
@@ -53,11 +58,15 @@
   void rejoin();
   void repair();
   cairn::Value basis() const;
+  [[nodiscard]] Span roundTime() const;
 
   Parts parts_;
   std::mt19937_64 random_;
   std::optional<cairn::Ledge> ledge_;
   cairn::Value known_;
+  std::map<std::uint64_t, std::string> knownTexts_;
+  cairn::Shelf shelf_;
+  std::uint64_t knownTextOf_ = 0;
   bool dirty_ = false;  // the state in memory is ahead of the disk
   bool repairing_ = false;
   bool changingVoters_ = false;
--- a/src/process/office.cpp
+++ b/src/process/office.cpp
@@ -36,7 +36,7 @@
 }
 
 // One operator's change as a function of the current value.
-Climber::Verdict decide(const json& document, const std::shared_ptr<const std::string>& text,
+Climber::Verdict decide(const json& document, const cairn::Signboard::Ptr& text,
                         bool whole, Revision base, const std::string& digest, const Value& current,
                         Value& next) {
   using Kind = Climber::Verdict::Kind;
@@ -54,7 +54,7 @@
       verdict.error = ErrorKind::otherVersion;
       return verdict;
     }
-    auto updated = cairn::applyUpdate(json::parse(*current.config), document);
+    auto updated = cairn::applyUpdate(json::parse(current.config->text()), document);
     if (!updated.problem.empty()) {
       verdict.detail = updated.problem;
       return verdict;
@@ -65,7 +65,7 @@
       verdict.detail = read.problem;
       return verdict;
     }
-    next.config = std::make_shared<const std::string>(updated.config.dump());
+    next.config = cairn::Signboard::of(updated.config.dump());
   } else {
     next.config = text;
   }
@@ -151,6 +151,7 @@
       detail["status"] == "draining" ? Server::Status::draining : Server::Status::available;
   server.sequence = detail["sequence"].get<std::uint64_t>();
   server.cold = detail.value("warmup_left_s", 0.0) > 0;
+  const auto target = parts_.beatTarget(server.id);  // before this beat makes it ours
   const auto beat = parts_.guestbook.beat(server, parts_.bell.now());
   if (beat != cairn::Guestbook::Beat::stale) {
     if (const auto now = parts_.guestbook.find(server.id)) parts_.serverHeard(*now);
@@ -159,7 +160,24 @@
     parts_.log("server " + id + (server.status == Server::Status::draining ? " drains" : " beats"));
     parts_.news();
   }
-  visit->answer(200, "OK", "{}", kJson);
+  const auto word = parts_.guestbook.find(server.id);
+  if (word && word->status != Server::Status::available) {
+    acknowledgeLeaving(visit, id);
+    return;
+  }
+  json answer = json::object();
+  if (!target.empty()) answer["heartbeat_target"] = target;
+  visit->answer(200, "OK", answer.dump(), kJson);
+}
+
+void Office::acknowledgeLeaving(const Visit::Ptr& visit, const std::string& id) {
+  parts_.whenHeld(InstanceId(id), [visit](bool held) {
+    if (held) {
+      visit->answer(200, "OK", "{}", kJson);
+    } else {
+      visit->fail(ErrorKind::noMajority);
+    }
+  });
 }
 
 void Office::deregister(const Visit::Ptr& visit, const std::string& id) {
@@ -168,7 +186,7 @@
     if (const auto now = parts_.guestbook.find(InstanceId(id))) parts_.serverHeard(*now);
     parts_.news();
   }
-  visit->answer(200, "OK", "{}", kJson);
+  acknowledgeLeaving(visit, id);
 }
 
 void Office::change(const Visit::Ptr& visit, const std::string& body, bool whole) {
@@ -197,11 +215,11 @@
   }
   const auto digest = sha1((whole ? "replace/" : "update/") + baseText + "/" + body);
   parts_.council.climb(
-      [document, whole, base, digest, text = std::make_shared<const std::string>(body)](
+      [document, whole, base, digest, text = whole ? cairn::Signboard::of(body) : nullptr](
           const Value& current, Value& next) {
         return decide(*document, text, whole, base, digest, current, next);
       },
-      kCallLimit,
+      kCallLimit + cairn::extraTime(body.size()),
       [this, visit, document](const Climber::Result& result) {
         const auto revision = std::to_string((*document)["revision"].get<std::int64_t>());
         if (!result.ok) {
@@ -222,7 +240,7 @@
                          } else if (!result.chosen.config) {
                            visit->fail(ErrorKind::noConfig);
                          } else {
-                           visit->answer(200, "OK", *result.chosen.config, kJson);
+                           visit->answer(200, "OK", result.chosen.config->text(), kJson);
                          }
                        });
 }
--- a/src/process/office.hpp
+++ b/src/process/office.hpp
@@ -20,6 +20,10 @@
     cairn::Guestbook& guestbook;
     std::function<void(const cairn::Server&)> serverHeard;  // before the acknowledgement leaves
     std::function<void()> news;
+    // Calls back once the word on that server survives the losses to be borne, or can't in time.
+    std::function<void(const InstanceId&, std::function<void(bool)>)> whenHeld;
+    // Where that server should send its beats; empty: here.
+    std::function<std::string(const InstanceId&)> beatTarget;
     std::function<nlohmann::json()> status;
     std::function<bool()> ready;
     std::function<void(const std::string&)> log;
@@ -28,6 +32,7 @@
   void visit(const saddle::Visit::Ptr& visit);
 
  private:
+  void acknowledgeLeaving(const saddle::Visit::Ptr& visit, const std::string& id);
   void heartbeat(const saddle::Visit::Ptr& visit, const std::string& id, const std::string& body);
   void deregister(const saddle::Visit::Ptr& visit, const std::string& id);
   void change(const saddle::Visit::Ptr& visit, const std::string& body, bool whole);
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -5,7 +5,6 @@
 
 namespace merlin::hut {
 
-using cairn::Page;
 using cairn::Value;
 using nlohmann::json;
 
@@ -17,6 +16,7 @@
 constexpr Span kRetryAfter = std::chrono::milliseconds(700);
 constexpr Span kBackFor = std::chrono::milliseconds(3500);
 constexpr std::size_t kCoresPerSidecar = 2;
+constexpr Span kForgetPuller = std::chrono::seconds(20);
 }  // namespace
 
 std::vector<NodeId> rendezvous(const NodeId& self, const std::vector<NodeId>& all,
@@ -36,8 +36,8 @@
   const auto& known = parts_.known();
   all.insert(known.voters.begin(), known.voters.end());
   all.insert(known.before.begin(), known.before.end());
-  for (const auto& [node, page] : parts_.guestbook.pages()) {
-    if (page.node.core && !page.node.leaving) all.insert(node);
+  for (const auto& [node, facts] : parts_.guestbook.nodes()) {
+    if (facts.core && !facts.leaving) all.insert(node);
   }
   if (all.size() < kCoresPerSidecar) {
     all.insert(parts_.seeds().begin(), parts_.seeds().end());
@@ -53,9 +53,9 @@
   };
   std::set<NodeId> near;
   std::vector<NodeId> sidecars;
-  for (const auto& [node, page] : parts_.guestbook.pages()) {
-    if (page.node.zone == parts_.zone) near.insert(node);
-    if (!page.node.core && !page.node.leaving) sidecars.push_back(node);
+  for (const auto& [node, facts] : parts_.guestbook.nodes()) {
+    if (facts.zone == parts_.zone) near.insert(node);
+    if (!facts.core && !facts.leaving && !facts.silent) sidecars.push_back(node);
   }
   std::set<NodeId> wanted;
   std::set<NodeId> back;  // these are asked to pull from here in turn
@@ -98,6 +98,11 @@
   if (stopped_) return;
   choose();
   const Instant now = parts_.world.now();
+  std::erase_if(told_, [&](const auto& entry) {
+    const auto heard = heard_.find(entry.first);
+    return !hanging_.contains(entry.first) &&
+           (heard == heard_.end() || now - heard->second > kForgetPuller);
+  });
   std::vector<NodeId> due;
   for (const auto& [node, link] : links_) {
     if (link.wanted && !link.busy && link.retryAt <= now) due.push_back(node);
@@ -108,53 +113,85 @@
 void Roster::pull(const NodeId& peer) {
   auto& link = links_[peer];
   link.busy = true;
-  const auto& pages = parts_.guestbook.pages();
-  const auto page = pages.find(peer);
-  const bool near = page != pages.end() && page->second.node.zone == parts_.zone;
+  const auto& book = parts_.guestbook;
+  const auto facts = book.nodes().find(peer);
+  const bool near = facts != book.nodes().end() && facts->second.zone == parts_.zone;
   const Span hang = near ? kHangNear : kHangFar;
-  json body = {
-      {"f", parts_.self.str()}, {"s", parts_.known().sequence}, {"w", hang.count() / 1000}};
+  json body = {{"f", parts_.self.str()},
+               {"s", parts_.known().sequence},
+               {"w", hang.count() / 1000},
+               {"d", book.vectorHash()},
+               {"h", book.digest()}};
+  if (parts_.known().config) body["t"] = parts_.known().config->id();
   if (link.back) body["b"] = 1;
   if (link.full) {
-    body["v"] = cairn::toJson(parts_.guestbook.vector());
-  } else {
-    body["d"] = parts_.guestbook.digest();
+    body["a"] = 1;
+    link.told.clear();
   }
-  parts_.world.post(peer, body, hang + kAnswerSlack, [this, peer](std::optional<json> answer) {
-    auto& l = links_[peer];
-    l.busy = false;
-    if (stopped_) return;
-    if (!answer) {
-      ++l.failures;
-      l.full = true;
-      l.retryAt = parts_.world.now() + kRetryAfter;
-      choose();
-      return;
-    }
-    l.failures = 0;
-    pulled_ = true;
-    heard_[peer] = parts_.world.now();
-    try {
-      took(peer, *answer);
-    } catch (const std::exception&) {
-      l.retryAt = parts_.world.now() + kRetryAfter;
-      return;
+  const auto news = book.above(link.told);
+  if (!news.empty()) body["v"] = cairn::toJson(news);
+  // Lives struck from the vector since.
+  json struck = json::array();
+  for (auto it = link.told.begin(); it != link.told.end();) {
+    if (book.vector().contains(it->first)) {
+      ++it;
+      continue;
     }
-    if (links_[peer].wanted) pull(peer);
-  });
+    struck.push_back(it->first.str());
+    it = link.told.erase(it);
+  }
+  if (!struck.empty()) body["x"] = std::move(struck);
+  if (link.mend != 0) {
+    body["m"] = link.mend;
+    body["i"] = book.itemsIn(link.mend, parts_.world.now());
+    link.mend = 0;
+  }
+  for (const auto& [source, count] : news) link.told[source] = count;
+  parts_.world.post(
+      peer, body, hang + kAnswerSlack, [this, peer](std::optional<json> answer) {
+        auto& l = links_[peer];
+        l.busy = false;
+        if (stopped_) return;
+        if (!answer) {
+          ++l.failures;
+          l.full = true;
+          l.retryAt = parts_.world.now() + kRetryAfter;
+          choose();
+          return;
+        }
+        l.failures = 0;
+        pulled_ = true;
+        heard_[peer] = parts_.world.now();
+        currentAt_[peer] = heard_[peer];
+        try {
+          took(peer, *answer);
+        } catch (const std::exception&) {
+          l.retryAt = parts_.world.now() + kRetryAfter;
+          return;
+        }
+        if (links_[peer].wanted) pull(peer);
+      });
 }
 
 void Roster::took(const NodeId& peer, const json& answer) {
   const Instant now = parts_.world.now();
+  auto& book = parts_.guestbook;
   bool fresh = false;
-  if (answer.contains("p")) {
-    for (const auto& page : answer.at("p")) {
-      fresh = parts_.guestbook.merge(cairn::pageFrom(page), now) || fresh;
+  if (answer.contains("i") || answer.contains("v")) {
+    const auto come =
+        answer.contains("v") ? cairn::vectorFrom(answer.at("v")) : cairn::Vector();
+    fresh = book.merge(answer.value("i", json::array()), come, now);
+  }
+  auto& link = links_[peer];
+  link.full = answer.contains("q");
+  if (answer.contains("r")) {
+    const auto mine = book.ranges();
+    const auto& theirs = answer.at("r");
+    for (std::size_t i = 0; i < mine.size(); ++i) {
+      if (theirs.at(i).get<std::uint64_t>() != mine.at(i)) link.mend |= 1U << i;
     }
   }
-  // Equal digests: from here on the digest says it all.
-  links_[peer].full = answer.at("d").get<std::uint64_t>() != parts_.guestbook.digest();
-  if (answer.contains("c")) parts_.learn(cairn::valueFrom(answer.at("c")));
+  if (answer.contains("c")) parts_.learn(parts_.readValue(answer.at("c")));
   if (fresh) {
     parts_.changed();
     news();
@@ -162,87 +199,157 @@
 }
 
 void Roster::serve(const json& pull, Answer answering) {
+  const NodeId from(pull.at("f").get<std::string>());
   Hanging hanging;
   hanging.answer = std::move(answering);
-  hanging.from = NodeId(pull.at("f").get<std::string>());
   hanging.sequence = pull.at("s").get<std::uint64_t>();
+  hanging.text = pull.value("t", std::uint64_t{0});
+  hanging.digest = pull.at("h").get<std::uint64_t>();
   const auto wait = std::clamp<std::int64_t>(pull.at("w").get<std::int64_t>(), 0, 5000);
   const Instant now = parts_.world.now();
   const bool asked = pull.contains("b");
-  const bool firstTime = asked && (!pulledFromHere_.contains(hanging.from) ||
-                                   now - pulledFromHere_[hanging.from] > kBackFor);
-  if (asked) pulledFromHere_[hanging.from] = now;
-  heard_[hanging.from] = now;
+  const bool firstTime = asked && (!pulledFromHere_.contains(from) ||
+                                   now - pulledFromHere_[from] > kBackFor);
+  if (asked) pulledFromHere_[from] = now;
+  heard_[from] = now;
+  auto& told = told_[from];
+  if (pull.contains("a")) told.clear();
   if (pull.contains("v")) {
-    hanging.had = cairn::vectorFrom(pull.at("v"));
-  } else if (pull.at("d").get<std::uint64_t>() == parts_.guestbook.digest()) {
-    hanging.had = parts_.guestbook.vector();
-  } else {
-    // The two have drifted apart: the puller is asked for its vector.
-    hanging.answer(json{{"d", parts_.guestbook.digest()}});
+    for (const auto& [source, count] : cairn::vectorFrom(pull.at("v"))) told[source] = count;
+  }
+  if (pull.contains("x")) {
+    for (const auto& source : pull.at("x")) told.erase(cairn::SourceId(source.get<std::string>()));
+  }
+  std::uint64_t hash = 0;
+  for (const auto& [source, count] : told) hash ^= cairn::hashOf(source, count);
+  if (hash != pull.at("d").get<std::uint64_t>()) {
+    // What is remembered of the puller is not what it has: it is asked for its whole vector.
+    told_.erase(from);
+    hanging.answer(R"({"q":1})");
     return;
   }
+  if (pull.contains("i") && parts_.guestbook.merge(pull.at("i"), {}, now)) {
+    parts_.changed();
+    news();
+  }
   if (firstTime) parts_.world.after(Span(0), [this] { tick(); });
-  if (wait == 0 || stopped_ || anythingFor(hanging)) {
-    answer(hanging);
+  if (pull.contains("m")) {
+    const json out = {{"i", parts_.guestbook.itemsIn(pull.at("m").get<std::uint32_t>(), now)}};
+    hanging.answer(out.dump());
     return;
   }
-  hanging_.push_back(std::move(hanging));
-  const auto it = std::prev(hanging_.end());
-  it->timer = parts_.world.after(fromMillis(static_cast<double>(wait)), [this, it] {
-    it->timer = 0;
-    answer(*it);
-    hanging_.erase(it);
-  });
+  if (onTold) onTold();
+  const auto answered = answeredAt_.find(from);
+  if (answered != answeredAt_.end()) hanging.notBefore = answered->second + parts_.pace;
+  const bool anything = anythingFor(from, hanging);
+  if (wait == 0 || stopped_ || (anything && hanging.notBefore <= now)) {
+    answer(from, hanging, false);
+    return;
+  }
+  if (anything) news();
+  hanging.timer = parts_.world.after(fromMillis(static_cast<double>(wait)),
+                                     [this, from] { timeUp(from); });
+  auto older = hanging_.find(from);
+  if (older != hanging_.end()) {
+    // Its caller has given that one up.
+    parts_.world.cancel(older->second.timer);
+    const auto left = std::move(older->second);
+    hanging_.erase(older);
+    left.answer("{}");
+  }
+  hanging_.emplace(from, std::move(hanging));
+}
+
+void Roster::timeUp(const NodeId& from) {
+  auto node = hanging_.extract(from);
+  if (!node.empty()) answer(from, node.mapped(), true);
 }
 
-bool Roster::anythingFor(const Hanging& hanging) const {
+bool Roster::anythingFor(const NodeId& from, const Hanging& hanging) const {
   if (parts_.known().sequence > hanging.sequence) return true;
-  for (const auto* page : parts_.guestbook.newerThan(hanging.had)) {
-    if (page->node.id != hanging.from) return true;
-  }
-  return false;
+  const auto told = told_.find(from);
+  return told != told_.end() && parts_.guestbook.lacks(told->second);
 }
 
-void Roster::answer(Hanging& hanging) {
-  json out = {{"d", parts_.guestbook.digest()}};
-  json pages = json::array();
-  for (const auto* page : parts_.guestbook.newerThan(hanging.had)) {
-    // Its own page it has; only a page from its earlier life is news to it.
-    const auto had = hanging.had.find(hanging.from);
-    if (page->node.id == hanging.from && had != hanging.had.end() &&
-        had->second.life >= page->version.life) {
-      continue;
-    }
-    pages.push_back(toJson(*page));
+void Roster::answer(const NodeId& to, const Hanging& hanging, bool timeUp) {
+  const auto& book = parts_.guestbook;
+  const auto& told = told_[to];
+  json out = json::object();
+  auto items = book.newerThan(told, parts_.world.now());
+  const bool nothing = items.empty();
+  if (!nothing || parts_.known().sequence > hanging.sequence) {
+    answeredAt_[to] = parts_.world.now();
+  }
+  if (!nothing) out["i"] = std::move(items);
+  auto above = book.above(told);
+  if (!above.empty()) out["v"] = cairn::toJson(above);
+  // Nothing new for a while on either side, and yet the books differ: by ranges, then.
+  if (timeUp && nothing && hanging.digest != book.digest()) out["r"] = book.ranges();
+  std::string text = out.dump();
+  if (parts_.known().sequence > hanging.sequence) {
+    text.pop_back();
+    text += (text.size() > 1 ? ",\"c\":" : "\"c\":") + parts_.knownFor(hanging.text) + "}";
   }
-  if (!pages.empty()) out["p"] = std::move(pages);
-  if (parts_.known().sequence > hanging.sequence) out["c"] = toJson(parts_.known());
-  hanging.answer(out);
+  hanging.answer(text);
 }
 
 void Roster::news() {
   if (newsPlanned_) return;
   newsPlanned_ = true;
-  parts_.world.after(kTogether, [this] {
-    newsPlanned_ = false;
-    for (auto it = hanging_.begin(); it != hanging_.end();) {
-      if (!anythingFor(*it)) {
-        ++it;
-        continue;
-      }
-      parts_.world.cancel(it->timer);
-      answer(*it);
-      it = hanging_.erase(it);
+  parts_.world.after(kTogether, [this] { tellNews(); });
+}
+
+// Answers the pulls that hang and can be told something; those told a moment ago a little later.
+void Roster::tellNews() {
+  newsPlanned_ = false;
+  const Instant now = parts_.world.now();
+  std::vector<NodeId> due;
+  Instant again = Instant::max();
+  for (const auto& [from, hanging] : hanging_) {
+    if (!anythingFor(from, hanging)) continue;
+    if (hanging.notBefore <= now) {
+      due.push_back(from);
+    } else {
+      again = std::min(again, hanging.notBefore);
     }
-  });
+  }
+  for (const auto& from : due) {
+    auto node = hanging_.extract(from);
+    parts_.world.cancel(node.mapped().timer);
+    answer(from, node.mapped(), false);
+  }
+  if (again == Instant::max() || newsPlanned_) return;
+  newsPlanned_ = true;
+  parts_.world.after(again - now, [this] { tellNews(); });
+}
+
+std::size_t Roster::holders(const cairn::Dot& dot) const {
+  std::size_t n = 0;
+  for (const auto& [node, vector] : told_) {
+    const auto facts = parts_.guestbook.nodes().find(node);
+    if (facts == parts_.guestbook.nodes().end() || !facts->second.core) continue;
+    const auto held = vector.find(dot.source);
+    if (held != vector.end() && held->second >= dot.count) ++n;
+  }
+  return n;
+}
+
+Span Roster::newsAge() const {
+  Instant newest;
+  for (const auto& [node, at] : currentAt_) {
+    const auto facts = parts_.guestbook.nodes().find(node);
+    if (facts != parts_.guestbook.nodes().end() && facts->second.core) {
+      newest = std::max(newest, at);
+    }
+  }
+  return newest == Instant() ? Span::max() : parts_.world.now() - newest;
 }
 
 void Roster::stop() {
   stopped_ = true;
-  for (auto& hanging : hanging_) {
+  for (auto& [from, hanging] : hanging_) {
     parts_.world.cancel(hanging.timer);
-    answer(hanging);
+    answer(from, hanging, false);
   }
   hanging_.clear();
 }
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -4,11 +4,11 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "units.hpp"
@@ -32,7 +32,7 @@
                        std::function<void(std::optional<nlohmann::json>)>)>
         post;
   };
-  using Answer = std::function<void(const nlohmann::json&)>;
+  using Answer = std::function<void(const std::string&)>;
   struct Parts {
     World world;
     NodeId self;
@@ -40,9 +40,13 @@
     std::function<const std::vector<NodeId>&()> seeds;
     cairn::Guestbook& guestbook;
     std::function<const cairn::Value&()> known;
+    // The same as JSON for a reader that has that text.
+    std::function<const std::string&(std::uint64_t)> knownFor;
+    std::function<cairn::Value(const nlohmann::json&)> readValue;
     std::function<void(const cairn::Value&)> learn;
     std::function<void()> changed;  // pages have changed
     bool core = false;
+    Span pace{};  // news on one link is gathered for so long: small machines need it
   };
   explicit Roster(Parts parts) : parts_(std::move(parts)) {}
 
@@ -55,36 +59,50 @@
   [[nodiscard]] bool heardWithin(const NodeId& node, Span span) const;
   [[nodiscard]] Instant lastHeard(const NodeId& node) const;
   [[nodiscard]] bool everPulled() const { return pulled_; }
-  [[nodiscard]] std::size_t links() const { return links_.size(); }
+  // Heard within `span` from a core node: what is known here is about that old at most.
+  [[nodiscard]] bool currentWithin(Span span) const { return newsAge() <= span; }
+  [[nodiscard]] Span newsAge() const;
+  // How many other core nodes are known to hold that word.
+  [[nodiscard]] std::size_t holders(const cairn::Dot& dot) const;
+  // Called whenever another node has told how far it has come.
+  std::function<void()> onTold;
 
  private:
   struct Link {
     bool busy = false;
     bool wanted = true;
     bool back = false;  // the peer is asked to pull from here too
-    bool full = true;   // send the whole vector, not its digest
+    bool full = true;   // the peer doesn't know how far this node has come
     int failures = 0;
     Instant retryAt;
+    cairn::Vector told;      // how far the peer knows this node to have come
+    std::uint32_t mend = 0;  // ranges in which the two differ
   };
   struct Hanging {
     Answer answer;
-    NodeId from;
-    cairn::Vector had;
     std::uint64_t sequence = 0;
+    std::uint64_t text = 0;  // of the configuration that the puller has
+    std::uint64_t digest = 0;
     std::uint64_t timer = 0;
+    Instant notBefore;
   };
   void choose();
   void pull(const NodeId& peer);
   void took(const NodeId& peer, const nlohmann::json& answer);
-  void answer(Hanging& hanging);
-  [[nodiscard]] bool anythingFor(const Hanging& hanging) const;
+  void tellNews();
+  void answer(const NodeId& to, const Hanging& hanging, bool timeUp);
+  void timeUp(const NodeId& from);
+  [[nodiscard]] bool anythingFor(const NodeId& from, const Hanging& hanging) const;
   std::vector<NodeId> cores() const;
 
   Parts parts_;
   std::map<NodeId, Link> links_;
   std::map<NodeId, Instant> pulledFromHere_;
   std::map<NodeId, Instant> heard_;
-  std::list<Hanging> hanging_;
+  std::map<NodeId, Instant> currentAt_;
+  std::map<NodeId, Hanging> hanging_;
+  std::map<NodeId, Instant> answeredAt_;  // when news last went to each puller
+  std::map<NodeId, cairn::Vector> told_;  // how far each puller has come, as it says
   bool newsPlanned_ = false;
   bool pulled_ = false;
   bool stopped_ = false;
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -31,6 +32,30 @@
   return std::string(field) + ": not an address with a port: " + address;
 }
 
+// What a role serves and the addresses it is given must agree.
+std::string roleProblem(const json& node, const Settings& s) {
+  const auto serves = [&](const char* what) {
+    const auto& list = node["serves"];
+    return std::find(list.begin(), list.end(), what) != list.end();
+  };
+  if (!s.frontend.empty() && (!s.egress.empty() || !s.ingress.empty())) {
+    return "network.listeners: frontend together with egress or ingress";
+  }
+  if (serves("edge") && s.frontend.empty()) {
+    return "network.listeners.frontend: missing, and self_node.serves names edge";
+  }
+  if (serves("edge") && s.readiness.empty()) {
+    return "network.listeners.readiness: missing, and self_node.serves names edge";
+  }
+  if (serves("sidecar") && (s.egress.empty() || s.ingress.empty())) {
+    return "network.listeners: egress or ingress missing, and self_node.serves names sidecar";
+  }
+  if (serves("control_plane") && s.control.empty()) {
+    return "network.listeners.control_plane: missing, and self_node.serves names control_plane";
+  }
+  return "";
+}
+
 void readTerms(const json& terms, Settings& s) {
   s.drainTimeout = fromSeconds(terms.value("drain_timeout_s", toSeconds(s.drainTimeout)));
   s.grace = fromSeconds(terms.value("grace_period_s", toSeconds(s.grace)));
@@ -63,15 +88,18 @@
   }
   if (node.contains("limits")) {
     s.descriptors = static_cast<int>(node["limits"].value("file_descriptors", 1024.0));
+    s.processor = node["limits"].value("cpu_share", 1.0) * node["limits"].value("cpu_cores", 1.0);
     s.diskMb = static_cast<int>(node["limits"].value("disk_mb", 64.0));
   }
   s.ingress = listener(network, "ingress");
   s.egress = listener(network, "egress");
+  s.frontend = listener(network, "frontend");
   s.readiness = listener(network, "readiness");
   s.control = listener(network, "control_plane");
   const std::pair<const char*, const std::string*> addresses[] = {
       {"network.listeners.ingress", &s.ingress},
       {"network.listeners.egress", &s.egress},
+      {"network.listeners.frontend", &s.frontend},
       {"network.listeners.readiness", &s.readiness},
       {"network.listeners.control_plane", &s.control},
       {"self_node.app_address", &s.appAddress}};
@@ -82,6 +110,10 @@
   }
   s.internalPort = network["internal_port_range"][0].get<std::uint16_t>();
   if (!s.ingress.empty()) s.ingressPort = Poco::Net::SocketAddress(s.ingress).port();
+  if (!s.control.empty()) s.controlPort = Poco::Net::SocketAddress(s.control).port();
+  if (auto problem = roleProblem(node, s); !problem.empty()) {
+    return {std::nullopt, "settings: " + problem};
+  }
   for (const auto& seed : network["seed_nodes"]) {
     const auto address = seed.get<std::string>();
     if (auto problem = addressProblem("network.seed_nodes", address); !problem.empty()) {
@@ -92,7 +124,11 @@
   if (document.contains("platform_config")) {
     s.heartbeat = fromSeconds(document["platform_config"].value("heartbeat_interval_s", 1.5));
   }
-  readTerms(document["policy_terms"]["timing_bounds"], s);
+  const auto& terms = document["policy_terms"];
+  readTerms(terms["timing_bounds"], s);
+  if (terms.contains("fault_tolerance")) {
+    s.tolerance = terms["fault_tolerance"].value("machines", s.tolerance);
+  }
   return {s, ""};
 }
 
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -20,19 +20,25 @@
   bool bootstrap = false;
   std::string dataDirectory;  // empty: no disk
   int descriptors = 1024;
+  double processor = 1;  // cores' worth of processor time
   int diskMb = 64;
 
   std::string ingress;  // addresses, empty where not served
   std::string egress;
+  std::string frontend;
   std::string readiness;
   std::string control;
   std::uint16_t internalPort = 0;
   std::uint16_t ingressPort = 0;
+  std::uint16_t controlPort = 0;
   std::vector<NodeId> seeds;
+  // The way in for callers, whichever it is.
+  [[nodiscard]] const std::string& wayIn() const { return frontend.empty() ? egress : frontend; }
 
   Span heartbeat = std::chrono::milliseconds(1500);
   Span drainTimeout = std::chrono::seconds(2);
   Span grace = std::chrono::seconds(6);
+  std::size_t tolerance = 1;  // core machines that may be lost at once
   double retryRatio = 0.2;
   double retrySlack = 0;
   Span retryWindow = std::chrono::seconds(10);
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -28,6 +28,13 @@
 constexpr Span kCoreLive = std::chrono::milliseconds(4000);
 constexpr Span kCoreLost = std::chrono::seconds(10);
 constexpr Span kCoreSettled = std::chrono::seconds(1);
+constexpr Span kHoldLimit = std::chrono::milliseconds(800);  // a beat has a second
+constexpr Span kNodeSilent = std::chrono::milliseconds(4500);
+constexpr Span kCurrent = std::chrono::milliseconds(2700);  // the longest hang and a little
+constexpr Span kSweep = std::chrono::seconds(10);
+constexpr double kPaceMs = 8;  // between two answers with news on one link, on a whole core
+constexpr double kPaceMostMs = 250;
+constexpr int kSilentPeerMs = 700;  // no sign of its kernel for so long: the server's machine is gone
 constexpr std::size_t kControlBody = 8U << 20;
 
 Logger& logOf(const char* part) { return Logger::get(part); }
@@ -44,12 +51,15 @@
       settingsPath_(std::move(settingsPath)),
       core_(settings_.quorumMember && !settings_.dataDirectory.empty()),
       seed_(randomSeed()),
-      meshRopes_(bell, {kMeshConnect, std::chrono::seconds(20), 64}),
-      appRopes_(bell, {kAppConnect, std::chrono::seconds(20), 64}),
+      meshRopes_(bell, settings_.frontend.empty()
+                           ? saddle::Ropes::Config{kMeshConnect, std::chrono::seconds(20), 64, 0}
+                           : saddle::Ropes::Config{kMeshConnect, std::chrono::seconds(9), 8,
+                                                   kSilentPeerMs}),
+      appRopes_(bell, {kAppConnect, std::chrono::seconds(20), 64, 0}),
       wire_(bell, settings_.internalPort),
       // Lives of one machine rise with its steady clock; the guestbook steps over what others
       // remember where that clock has begun anew.
-      guestbook_({settings_.self, settings_.zone, core_, false},
+      guestbook_({settings_.self, settings_.zone, core_, false, false, 0, Life{}},
                  Life{static_cast<std::uint64_t>(Bell::clock().time_since_epoch().count())}) {}
 
 Warden::~Warden() = default;
@@ -71,26 +81,43 @@
   world.post = [this](const NodeId& to, const json& body, Span limit, Wire::Answer answer) {
     wire_.post(to, "/news", body, limit, std::move(answer));
   };
+  const auto pace = fromMillis(std::clamp(kPaceMs / std::max(settings_.processor, 0.001), 0.0,
+                                          kPaceMostMs));
   roster_ = std::make_unique<Roster>(
       Roster::Parts{std::move(world), settings_.self, settings_.zone,
                     [this]() -> const std::vector<NodeId>& { return settings_.seeds; }, guestbook_,
                     [this]() -> const Value& { return council_->known(); },
-                    [this](const Value& value) { council_->learn(value); },
-                    [this] {
-                      if (egress_) egress_->setNodes(guestbook_.pages().size());
+                    [this](std::uint64_t has) -> const std::string& {
+                      return council_->knownFor(has);
                     },
-                    core_});
+                    [this](const json& j) { return cairn::valueFrom(j, &council_->shelf()); },
+                    [this](const Value& value) { council_->learn(value); },
+                    [this] { fleetChanged(); }, core_, pace});
+  roster_->onTold = [this] { checkHeld(); };
   office_ = std::make_unique<Office>(Office::Parts{
       bell_, *council_, guestbook_,
       [this](const Server& server) {
         if (ingress_) ingress_->heard(server, bell_.now());
       },
-      [this] { roster_->news(); }, [this] { return status(); }, [this] { return ready(); },
+      [this] { roster_->news(); },
+      [this](const InstanceId& id, std::function<void(bool)> done) {
+        whenHeld(id, std::move(done));
+      },
+      [this](const InstanceId& id) { return beatTarget(id); }, [this] { return status(); },
+      [this] { return ready(); },
       [](const std::string& text) { logOf("hut").information(text); }});
-  if (!settings_.egress.empty()) {
+  if (!settings_.wayIn().empty()) {
+    const bool gateway = !settings_.frontend.empty();
+    std::unique_ptr<trail::Approach> approach;
+    if (gateway) {
+      approach = std::make_unique<trail::Direct>();
+    } else {
+      approach = std::make_unique<trail::ThroughIngress>(settings_.ingressPort);
+    }
     egress_ = std::make_unique<trail::Egress>(trail::Egress::Parts{
-        bell_, meshRopes_, guestbook_, [this] { return chart_; }, settings_.service, settings_.zone,
-        settings_.ingressPort,
+        bell_, meshRopes_, guestbook_, [this] { return chart_; },
+        [this] { return roster_->currentWithin(kCurrent); }, std::move(approach),
+        settings_.service, settings_.self, settings_.zone, gateway,
         trail::TollTerms{settings_.retryRatio, settings_.retrySlack, settings_.retryWindow},
         seed_ + 2});
   }
@@ -98,14 +125,14 @@
     ingress_ = std::make_unique<trail::Ingress>(
         trail::Ingress::Parts{bell_, appRopes_, settings_.appAddress,
                               [this](const InstanceId& id) -> std::optional<Server> {
-                                for (const auto& server : guestbook_.own().servers) {
-                                  if (server.id == id) return server;
-                                }
-                                return std::nullopt;
+                                return guestbook_.heardHere(id);
                               },
                               settings_.drainTimeout,
                               [this](const InstanceId& id) {
-                                if (guestbook_.silence(id)) roster_->news();
+                                if (guestbook_.silence(id, bell_.now())) roster_->news();
+                              },
+                              [this](const InstanceId& id, int tenths) {
+                                if (guestbook_.setIll(id, tenths)) roster_->news();
                               }});
   }
   openDoors();
@@ -125,10 +152,15 @@
       logOf("saddle").debug(std::string("refused: ") + answerFor(kind).text);
     };
   };
-  open(egressDoor_, settings_.egress, room / 3, [this](const auto& v) { egress_->visit(v); });
+  const bool gateway = !settings_.frontend.empty();
+  open(egressDoor_, settings_.wayIn(), gateway ? room / 2 : room / 3,
+       [this](const auto& v) { egress_->visit(v); });
+  if (egressDoor_) {
+    egressDoor_->reception->mayRunAhead = [this](const Visit& v) { return egress_->mayRunAhead(v); };
+  }
   open(ingressDoor_, settings_.ingress, room / 3, [this](const auto& v) { ingress_->visit(v); });
   open(readyDoor_, settings_.readiness, 32, [this](const auto& v) { office_->visit(v); });
-  open(controlDoor_, settings_.control, 128, [this](const auto& v) { office_->visit(v); });
+  open(controlDoor_, settings_.control, room / 3, [this](const auto& v) { office_->visit(v); });
   const SocketAddress inner(settings_.self.str(), settings_.internalPort);
   open(nodeDoor_, inner.toString(), 256, [this](const auto& v) { serveNode(v); });
   if (controlDoor_) controlDoor_->reception->limits.bodyBytes = kControlBody;
@@ -143,15 +175,17 @@
     try {
       if (document.is_discarded()) throw std::runtime_error("no JSON");
       if (path == "/news") {
-        roster_->serve(document, [visit](const json& answer) {
-          visit->answer(200, "OK", answer.dump(), "application/json");
+        roster_->serve(document, [visit](const std::string& answer) {
+          visit->answer(200, "OK", answer, "application/json");
         });
         return;
       }
       if (path == "/register") {
-        council_->ask(cairn::askFrom(document), [visit](std::optional<cairn::Reply> reply) {
+        const auto ask = cairn::askFrom(document, &council_->shelf());
+        council_->ask(ask, [this, visit, has = ask.text](std::optional<cairn::Reply> reply) {
           if (reply) {
-            visit->answer(200, "OK", toJson(*reply).dump(), "application/json");
+            visit->answer(200, "OK", toJson(*reply, has, &council_->shelf()).dump(),
+                          "application/json");
           } else {
             visit->fail(ErrorKind::noMajority);
           }
@@ -167,9 +201,10 @@
 }
 
 void Warden::chosen(const Value& value) {
-  if (value.config && (!chart_ || value.revision() > chart_->revision())) {
+  // A node that carries no traffic needs the text only.
+  if (value.config && egress_ && (!chart_ || value.revision() > chart_->revision())) {
     // It has passed the schema where it was taken.
-    auto read = cairn::Chart::read(json::parse(*value.config), false);
+    auto read = cairn::Chart::read(json::parse(value.config->text()), false);
     if (read.chart) {
       chart_ = read.chart;
       applyLimits();
@@ -192,7 +227,9 @@
   mine.idleTime = limits.idleTime;
 }
 
-bool Warden::ready() const { return !stopping_ && chart_ != nullptr && roster_->everPulled(); }
+bool Warden::ready() const {
+  return !stopping_ && council_->known().config != nullptr && roster_->everPulled();
+}
 
 void Warden::tick() {
   const Instant now = bell_.now();
@@ -203,7 +240,15 @@
   }
   roster_->tick();
   council_->tick();
-  if (core_) duties();
+  checkHeld();
+  if (egress_ && now >= sweepAt_) {
+    sweepAt_ = now + kSweep;
+    egress_->sweep(now);
+  }
+  if (core_) {
+    duties();
+    watchNodes();
+  }
   if (stopping_) drainOut();
   bell_.after(kTick, [this] { tick(); });
 }
@@ -214,14 +259,14 @@
   const Instant now = bell_.now();
   std::set<NodeId> live;
   std::set<NodeId> lost;
-  for (const auto& [node, page] : guestbook_.pages()) {
-    if (!page.node.core) continue;
+  for (const auto& [node, facts] : guestbook_.nodes()) {
+    if (!facts.core) continue;
     if (node == settings_.self) {
       live.insert(node);
       continue;
     }
     if (!coreSeen_.contains(node)) coreSeen_[node] = now;
-    if (roster_->heardWithin(node, kCoreLive) && !page.node.leaving &&
+    if (roster_->heardWithin(node, kCoreLive) && !facts.leaving &&
         now - coreSeen_[node] > kCoreSettled) {
       live.insert(node);
     }
@@ -240,24 +285,129 @@
   council_->keepVoters(live, lost);
 }
 
+bool Warden::liveCore(const NodeId& node) const {
+  if (node == settings_.self) return !stopping_;
+  const auto it = guestbook_.nodes().find(node);
+  return it != guestbook_.nodes().end() && it->second.core && !it->second.leaving &&
+         !it->second.silent && roster_->heardWithin(node, kCoreLive);
+}
+
+// A server that leaves may be lost sight of by as many cores as may be lost at once. Beside its
+// own server a node needs nobody: it closes the door itself.
+void Warden::whenHeld(const InstanceId& id, std::function<void(bool)> done) {
+  if (ingress_) {
+    done(true);
+    return;
+  }
+  waits_.push_back({id, std::move(done), bell_.now() + kHoldLimit});
+  checkHeld();
+}
+
+void Warden::checkHeld() {
+  if (waits_.empty()) return;
+  const auto& known = council_->known();
+  const std::size_t others = known.voters.empty() ? 0 : known.voters.size() - 1;
+  const std::size_t wanted = std::min(settings_.tolerance, others);
+  std::vector<Wait> over;
+  std::vector<bool> good;
+  std::erase_if(waits_, [&](Wait& wait) {
+    const auto dot = guestbook_.dotOf(wait.id);
+    const bool held = !dot || roster_->holders(*dot) >= wanted;
+    if (!held && bell_.now() < wait.until) return false;
+    over.push_back(std::move(wait));
+    good.push_back(held);
+    return true;
+  });
+  for (std::size_t i = 0; i < over.size(); ++i) over[i].done(good[i]);
+}
+
+// Rendezvous hashing spreads the servers over the live cores. One that comes here although its
+// beats belong elsewhere has just failed there: it stays.
+std::string Warden::beatTarget(const InstanceId& id) const {
+  if (ingress_ || settings_.controlPort == 0) return "";
+  const auto word = guestbook_.find(id);
+  if (word && !word->silent && word->keeper == settings_.self && !stopping_) return "";
+  std::vector<NodeId> cores;
+  for (const auto& [node, facts] : guestbook_.nodes()) {
+    if (facts.core && liveCore(node)) cores.push_back(node);
+  }
+  const auto order = rendezvous(NodeId(id.str()), cores, {});
+  if (order.empty() || order.front() == settings_.self) return "";
+  if (word && word->keeper == order.front()) return "";
+  return order.front().str() + ":" + std::to_string(settings_.controlPort);
+}
+
+// The cores that a node pulls from watch it. What they find silent is told to all; a node that is
+// not says so itself. The servers it was hearing are given up by the first live core in their order.
+void Warden::watchNodes() {
+  if (stopping_) return;
+  const Instant now = bell_.now();
+  bool changed = false;
+  std::vector<NodeId> quiet;
+  for (const auto& [node, facts] : guestbook_.nodes()) {
+    if (node == settings_.self || facts.silent || facts.leaving) continue;
+    const Instant heard = roster_->lastHeard(node);
+    if (heard == Instant() || now - heard <= kNodeSilent) {
+      suspected_.erase(node);
+    } else if (suspected_.insert(node).second) {
+      // Once: one that has chosen other watchers says that it lives, and they watch it from then.
+      quiet.push_back(node);
+    }
+  }
+  for (const auto& node : quiet) changed = guestbook_.nodeSilent(node) || changed;
+  const Span silent = fromSeconds(toSeconds(settings_.heartbeat) * kSilentBeats);
+  changed = guestbook_.orphans(now, silent, [this](const InstanceId& id) {
+    std::vector<NodeId> cores;
+    for (const auto& [node, facts] : guestbook_.nodes()) {
+      if (facts.core && liveCore(node)) cores.push_back(node);
+    }
+    const auto order = rendezvous(NodeId(id.str()), cores, {});
+    return !order.empty() && order.front() == settings_.self;
+  }) || changed;
+  if (changed) {
+    fleetChanged();
+    roster_->news();
+  }
+}
+
+void Warden::fleetChanged() {
+  if (!egress_) return;
+  std::size_t near = 0;
+  std::size_t all = 0;
+  std::size_t ever = 0;
+  for (const auto& [node, facts] : guestbook_.nodes()) {
+    if (facts.core) continue;
+    ++ever;
+    if (facts.leaving || facts.silent) continue;
+    ++all;
+    if (facts.zone == settings_.zone) ++near;
+  }
+  egress_->setFleet(near, all, ever);
+}
+
 json Warden::status() {
+  static const char* const kStatus[] = {"available", "draining", "gone"};
+  const Instant now = bell_.now();
+  json servers = json::array();
+  for (const auto& s : guestbook_.servers()) {
+    servers.push_back({{"instance", s.id.str()},
+                       {"service", s.service.str()},
+                       {"address", s.address},
+                       {"zone", s.zone.str()},
+                       {"slots", s.slots},
+                       {"status", kStatus[static_cast<int>(s.status)]},
+                       {"silent", s.silent},
+                       {"failing_tenths", s.ill},
+                       {"beats_to", s.keeper.str()}});
+  }
   json nodes = json::array();
-  for (const auto& [node, page] : guestbook_.pages()) {
-    json servers = json::array();
-    for (const auto& s : page.servers) {
-      static const char* const kStatus[] = {"available", "draining", "gone"};
-      servers.push_back({{"instance", s.id.str()},
-                         {"service", s.service.str()},
-                         {"address", s.address},
-                         {"slots", s.slots},
-                         {"status", kStatus[static_cast<int>(s.status)]}});
-    }
+  for (const auto& [node, facts] : guestbook_.nodes()) {
     nodes.push_back({{"node", node.str()},
-                     {"zone", page.node.zone.str()},
-                     {"core", page.node.core},
-                     {"leaving", page.node.leaving},
-                     {"heard", node == settings_.self || roster_->heardWithin(node, kCoreLive)},
-                     {"servers", std::move(servers)}});
+                     {"zone", facts.zone.str()},
+                     {"core", facts.core},
+                     {"leaving", facts.leaving},
+                     {"silent", facts.silent},
+                     {"heard", node == settings_.self || roster_->heardWithin(node, kCoreLive)}});
   }
   json voters = json::array();
   for (const auto& voter : council_->known().voters) voters.push_back(voter.str());
@@ -270,7 +420,9 @@
               {"voters", std::move(voters)},
               {"votes", council_->voter() && council_->awake()},
               {"disk_trouble", council_->diskTrouble()},
-              {"nodes", std::move(nodes)}};
+              {"news_age_ms", roster_->newsAge().count() / 1000},
+              {"nodes", std::move(nodes)},
+              {"servers", std::move(servers)}};
   if (egress_) {
     const auto& c = egress_->counts();
     out["egress"] = {{"requests", c.requests},
@@ -280,6 +432,14 @@
                      {"sent_on", c.hops},
                      {"dialled", meshRopes_.dialled()},
                      {"in_flight", egress_->inFlight()}};
+    json range = json::object();
+    for (const auto& [service, view] : egress_->view(now)) {
+      range[service.str()] = {{"in_range", view.inRange},
+                              {"known", view.known},
+                              {"left_alone", view.ejected},
+                              {"connections_each", view.connections}};
+    }
+    out["egress"]["services"] = std::move(range);
   }
   if (ingress_) {
     const auto& c = ingress_->counts();
--- a/src/process/warden.hpp
+++ b/src/process/warden.hpp
@@ -3,7 +3,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "connection/call.hpp"
 #include "connection/guest.hpp"
@@ -36,6 +38,12 @@
   void tick();
   void duties();
   void chosen(const cairn::Value& value);
+  void whenHeld(const InstanceId& id, std::function<void(bool)> done);
+  void checkHeld();
+  [[nodiscard]] std::string beatTarget(const InstanceId& id) const;
+  [[nodiscard]] bool liveCore(const NodeId& node) const;
+  void watchNodes();
+  void fleetChanged();
   void serveNode(const saddle::Visit::Ptr& visit);
   void drainOut();
   void applyLimits();
@@ -65,6 +73,14 @@
   cairn::Chart::Ptr chart_;
   std::optional<Instant> stopping_;
   std::map<NodeId, Instant> coreSeen_;
+  struct Wait {
+    InstanceId id;
+    std::function<void(bool)> done;
+    Instant until;
+  };
+  std::vector<Wait> waits_;
+  std::set<NodeId> suspected_;  // found silent from here, and not heard since
+  Instant sweepAt_;
 };
 
 }  // namespace merlin::hut
--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -38,6 +38,14 @@
   return next(now);
 }
 
+bool Ascent::avoids(const InstanceId& id) const {
+  return std::find(avoid_.begin(), avoid_.end(), id) != avoid_.end();
+}
+
+bool Ascent::knownFull(const InstanceId& id) const {
+  return std::find(full_.begin(), full_.end(), id) != full_.end();
+}
+
 Step Ascent::giveUp(ErrorKind kind) const {
   Step step;
   // Once a server may have run it, no answer may promise that it has not.
@@ -54,12 +62,14 @@
   if (++hops_ > kMaxHops) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
   std::vector<Candidate> open;   // neither tried nor known to be full
   std::vector<Candidate> queue;  // whatever may still be asked to queue it
-  for (auto& candidate : candidates_()) {
-    if (avoid_.contains(candidate.id)) continue;
-    if (!full_.contains(candidate.id) && candidate.jobs < candidate.slots) {
-      open.push_back(candidate);
+  for (const auto& candidate : candidates_()) {
+    if (avoids(*candidate.id)) continue;
+    if (terms_.mostJobs > 0 && candidate.jobs >= terms_.mostJobs * candidate.slots) {
+      anyFull_ = true;
+      continue;
     }
-    queue.push_back(std::move(candidate));
+    if (candidate.jobs < candidate.slots && !knownFull(*candidate.id)) open.push_back(candidate);
+    queue.push_back(candidate);
   }
   // Whoever is open has fewer jobs than slots.
   const bool nearBrief = !hasNear(open, 1.0) && hasNear(queue, kNearFirst);
@@ -78,7 +88,7 @@
   step.what = Step::Do::send;
   step.to = from[choice.index];
   step.mayWait = mayWait;
-  last_ = step.to.id;
+  last_ = *step.to.id;
   lastMayWait_ = mayWait;
   ++arrivals_;
   return step;
@@ -90,23 +100,23 @@
       --arrivals_;
       anyFull_ = true;
       // One that refused even to queue it is out of the question.
-      (lastMayWait_ ? avoid_ : full_).insert(last_);
+      (lastMayWait_ ? avoid_ : full_).push_back(last_);
       queueRefusals_ += lastMayWait_ ? 1 : 0;
       break;
     case Outcome::notThere:
     case Outcome::unreachable:
       --arrivals_;
-      avoid_.insert(last_);
+      avoid_.push_back(last_);
       break;
     case Outcome::turnedAway:
-      avoid_.insert(last_);
+      avoid_.push_back(last_);
       if (arrivals_ >= terms_.maxAttempts || !toll_.repeat(terms_.service, now)) {
         return giveUp(ErrorKind::overloaded);
       }
       break;
     case Outcome::maybeRun:
       anyRun_ = true;
-      avoid_.insert(last_);
+      avoid_.push_back(last_);
       if (!terms_.idempotent || arrivals_ >= terms_.maxAttempts ||
           !toll_.repeat(terms_.service, now)) {
         return giveUp(ErrorKind::maybeRun);
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -15,10 +14,10 @@
 
 namespace merlin::trail {
 
-// A server this node may choose.
+// A server this node may choose. Good until the loop's next turn: nothing is copied.
 struct Candidate {
-  InstanceId id;
-  std::string address;
+  const InstanceId* id = nullptr;
+  const void* where = nullptr;  // the owner's own
   double jobs = 0;
   int slots = 1;
   bool near = true;  // in this node's zone
@@ -39,6 +38,7 @@
   int maxAttempts = 1;
   Instant deadline;
   bool replayable = true;  // the body is still held
+  double mostJobs = 0;     // a server with more jobs than so many slots' worth is left alone; 0: any
 };
 
 struct Step {
@@ -51,7 +51,7 @@
 
 class Ascent {
  public:
-  using Candidates = std::function<std::vector<Candidate>()>;
+  using Candidates = std::function<const std::vector<Candidate>&()>;
   Ascent(Terms terms, Candidates candidates, Wayfinder& wayfinder, Toll& toll);
 
   Step begin(Instant now);
@@ -59,18 +59,19 @@
   void bodyLost() { terms_.replayable = false; }
   // The deadline passed while a try was out.
   [[nodiscard]] ErrorKind atDeadline(bool sent) const;
-  [[nodiscard]] int arrivals() const { return arrivals_; }
 
  private:
   Step next(Instant now);
+  [[nodiscard]] bool avoids(const InstanceId& id) const;
+  [[nodiscard]] bool knownFull(const InstanceId& id) const;
   Step giveUp(ErrorKind kind) const;
 
   Terms terms_;
   Candidates candidates_;
   Wayfinder& wayfinder_;
   Toll& toll_;
-  std::set<InstanceId> avoid_;  // can't be had for this request
-  std::set<InstanceId> full_;   // had no free slot
+  std::vector<InstanceId> avoid_;  // can't be had for this request
+  std::vector<InstanceId> full_;   // had no free slot
   InstanceId last_;
   int arrivals_ = 0;  // servers that may have seen it
   int hops_ = 0;
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t kPauseAbove = 256 * 1024;  // back-pressure between the two sides
 constexpr Span kSignOfLife = std::chrono::milliseconds(150);
 constexpr Span kFreshOnce = std::chrono::seconds(2);
+constexpr Span kFreshOnceDirect = std::chrono::seconds(5);
+constexpr double kMostJobsDirect = 2.0;  // of an edge's own at one server, in its slots
 constexpr Span kFreshSafe = std::chrono::seconds(20);
 
 double numberOf(const std::string& text, double otherwise) {
@@ -55,11 +57,14 @@
     terms.idempotent = route.idempotent;
     terms.maxAttempts = route.maxAttempts;
     terms.deadline = deadline_;
+    service_ = terms.service;
+    if (egress_.parts_.gateway) terms.mostJobs = kMostJobsDirect;
     auto& egress = egress_;
     ascent_ = std::make_unique<Ascent>(
         terms,
-        [&egress, service = terms.service, once = !route.idempotent] {
-          return egress.candidates(service, once);
+        [&egress, service = terms.service,
+         once = !route.idempotent]() -> const std::vector<Candidate>& {
+          return egress.range_.candidates(service, once, egress.parts_.bell.now());
         },
         egress_.wayfinder_, egress_.toll_);
     ++egress_.inFlight_;
@@ -112,7 +117,9 @@
   void send(const Step& step) {
     auto& parts = egress_.parts_;
     const Instant now = parts.bell.now();
-    at_ = step.to.id;
+    const auto& peak = Range::peak(step.to);
+    const auto& approach = *parts.approach;
+    at_ = peak.id;
     ++egress_.counts_.hops;
     HTTPRequest request(visit_->request.getMethod(), visit_->request.getURI(),
                         HTTPMessage::HTTP_1_1);
@@ -120,25 +127,16 @@
     request.set("Deadline-Ms",
                 std::to_string(std::max<std::int64_t>(1, (deadline_ - now).count() / 1000)));
     request.set("Expected-Instance", at_.str());
-    request.set("Caller-Service", parts.callerService.str());
-    request.set(hop::kRank, std::to_string(rank_));
-    if (step.mayWait) request.set(hop::kWait, "1");
-    request.set(hop::kTarget, std::to_string((target_ - now).count() / 1000));
-    if (!idempotent_) request.set(hop::kOnce, "1");
+    if (!parts.callerService.empty()) request.set("Caller-Service", parts.callerService.str());
+    approach.dress({at_, rank_, step.mayWait, !idempotent_, target_ - now}, request);
     saddle::planHeaders(visit_->plan, visit_->request, request);
-    Poco::Net::SocketAddress to;
-    try {
-      const Poco::Net::SocketAddress server(step.to.address);
-      to = Poco::Net::SocketAddress(server.host(), parts.ingressPort);
-    } catch (const Poco::Exception&) {
-      failed(Outcome::notThere);
-      return;
-    }
     answered_ = false;
     held_.clear();
-    egress_.loads_.began(at_);
+    egress_.loads_.began(at_, now);
     counted_ = true;
-    call_ = parts.ropes.call(to, request, visit_->plan.kind, idempotent_ ? kFreshSafe : kFreshOnce);
+    const Span once = parts.gateway ? kFreshOnceDirect : kFreshOnce;
+    const Span fresh = egress_.freshness_.limit(service_, idempotent_ ? kFreshSafe : once, now);
+    call_ = parts.ropes.call(peak.at, request, visit_->plan.kind, fresh, peak.life);
     const auto self = shared_from_this();
     call_->onHead = [self](HTTPResponse& response, const BodyPlan& plan) {
       self->answerHead(response, plan);
@@ -154,6 +152,7 @@
     if (visit_->bodyDone) call_->bodyEnd();
     if (!replayable_) body_.clear();
     signOfLife();
+    if (!approach.givesSign()) return;
     lifeTimer_ = parts.bell.after(kSignOfLife, [self] {
       self->lifeTimer_ = 0;
       self->noSignOfLife();
@@ -184,18 +183,20 @@
                                                response.getReason());
     saddle::copyHeaders(response, *response_, hop::ours);
     plan_ = plan;
-    refusal_ = response.get(hop::kRefused, "");
-    unclear_ = response.has(hop::kUnclear);
-    const auto load = response.get(hop::kLoad, "");
-    if (!load.empty()) {
-      // `ended` first: the load told is without the request that it answers.
-      uncount();
-      egress_.loads_.reported(at_, numberOf(load.substr(0, load.find(',')), 0),
-                              egress_.parts_.bell.now());
+    reading_ = egress_.parts_.approach->read(response);
+    const Instant now = egress_.parts_.bell.now();
+    if (reading_.load) {
+      // The load told of others is without the request that it answers.
+      if (!reading_.ownLoadIncluded) uncount();
+      egress_.loads_.reported(at_, *reading_.load, now);
+    }
+    if (reading_.gone) egress_.loads_.failed(at_, now);
+    if (egress_.parts_.gateway && reading_.refused != Outcome::turnedAway) {
+      egress_.loads_.answered(at_, reading_.wellDone, now);
     }
   }
 
-  [[nodiscard]] bool passable() const { return refusal_.empty() && !unclear_; }
+  [[nodiscard]] bool passable() const { return !reading_.refused; }
 
   void answerBody(std::string& bytes) {
     held_.append(bytes);
@@ -227,17 +228,10 @@
     call_ = nullptr;
     uncount();
     const Instant now = egress_.parts_.bell.now();
-    if (!refusal_.empty()) {
-      const bool full = refusal_ == hop::kFull;
-      if (refusal_ == hop::kNotThere) egress_.loads_.failed(at_, now);
-      if (full) egress_.loads_.worked(at_);
-      failed(full                           ? Outcome::full
-             : refusal_ == hop::kTurnedAway ? Outcome::turnedAway
-                                            : Outcome::notThere);
-      return;
-    }
-    if (unclear_) {
-      failed(Outcome::maybeRun);
+    if (reading_.refused) {
+      if (*reading_.refused == Outcome::notThere) egress_.loads_.failed(at_, now);
+      if (*reading_.refused == Outcome::full) egress_.loads_.worked(at_);
+      failed(*reading_.refused);
       return;
     }
     egress_.loads_.worked(at_);
@@ -259,10 +253,24 @@
   }
 
   void callFailed(Call::Failure failure) {
+    auto& parts = egress_.parts_;
+    const Instant now = parts.bell.now();
+    const Span idled = call_ ? call_->idled() : Span(-1);
     call_ = nullptr;
     signOfLife();
     uncount();
-    egress_.loads_.failed(at_, egress_.parts_.bell.now());
+    const bool reused = idled >= Span(0);
+    if (reused && failure == Call::Failure::stale) {
+      egress_.freshness_.stale(service_, idled, now);
+    } else if (reused && failure == Call::Failure::junk) {
+      egress_.freshness_.outOfStep(service_, now);
+    }
+    if (parts.gateway && failure != Call::Failure::notSent && failure != Call::Failure::stale) {
+      egress_.loads_.answered(at_, false, now);
+    }
+    const bool shut = !parts.gateway || failure == Call::Failure::notSent ||
+                      failure == Call::Failure::unclear;
+    if (shut) egress_.loads_.failed(at_, now);
     if (streaming_) {
       cutShort();
       return;
@@ -341,13 +349,13 @@
   hut::Bell::TimerId timer_ = 0;
   hut::Bell::TimerId lifeTimer_ = 0;
   Call::Ptr call_;
+  ServiceName service_;
   InstanceId at_;
   std::string body_;
   std::string held_;
   std::unique_ptr<HTTPResponse> response_;
   BodyPlan plan_;
-  std::string refusal_;
-  bool unclear_ = false;
+  Reading reading_;
   bool replayable_ = true;
   bool answered_ = false;
   bool streaming_ = false;
@@ -356,21 +364,25 @@
 };
 
 Egress::Egress(Parts parts)
-    : parts_(std::move(parts)), wayfinder_(parts_.seed), toll_(parts_.toll) {}
-
-std::vector<Candidate> Egress::candidates(const ServiceName& service, bool once) {
-  const Instant now = parts_.bell.now();
-  std::vector<Candidate> out;
-  std::vector<Candidate> shut;
-  for (const auto& server : parts_.guestbook.available(service)) {
-    Candidate candidate{server.id, server.address, loads_.jobs(server.id, now), server.slots,
-                        server.zone == parts_.zone};
-    const bool open =
-        loads_.reachable(server.id, now) && !(once && loads_.doubtful(server.id, now));
-    (open ? out : shut).push_back(std::move(candidate));
-  }
-  // With nobody known to be in reach, those found out of reach are worth another try.
-  return out.empty() ? shut : out;
+    : parts_(std::move(parts)),
+      wayfinder_(parts_.seed),
+      toll_(parts_.toll),
+      range_({parts_.guestbook, *parts_.approach, loads_, parts_.self, parts_.zone, parts_.gateway,
+              [this](const ServiceName& service) {
+                const auto chart = parts_.chart();
+                return chart ? chart->maxConnections(service) : 0;
+              }},
+             parts_.seed + 1) {}
+
+const cairn::Route* Egress::routeOf(const Visit& visit, const cairn::Chart& chart) const {
+  return chart.match(visit.request.get("Host", ""), visit.request.getURI());
+}
+
+bool Egress::mayRunAhead(const Visit& visit) const {
+  const auto chart = parts_.chart();
+  if (!chart || refusing_) return false;
+  const auto* route = routeOf(visit, *chart);
+  return route != nullptr && route->idempotent;
 }
 
 void Egress::visit(const Visit::Ptr& visit) {
@@ -381,9 +393,10 @@
     visit->fail(refusing_ ? ErrorKind::stopping : ErrorKind::noConfig);
     return;
   }
-  const auto* route = chart->match(visit->request.get("Host", ""), visit->request.getURI());
+  const auto* route = routeOf(*visit, *chart);
   if (route == nullptr) {
-    visit->fail(ErrorKind::noRoute);
+    // A node that is behind can't say that there is no such route.
+    visit->fail(parts_.current() ? ErrorKind::noRoute : ErrorKind::behind);
     return;
   }
   std::make_shared<Trip>(*this, visit, *route)->start(*route);
--- a/src/request/egress.hpp
+++ b/src/request/egress.hpp
@@ -1,5 +1,5 @@
-// egress: takes requests from the callers on this machine and carries out what their ascents
-// decide, over connections to the nodes beside the servers.
+// egress: takes requests from callers and carries out what their ascents decide, over connections
+// to the nodes beside the servers or, in a gateway, to the servers themselves.
 #pragma once
 
 #include <cstdint>
@@ -8,8 +8,11 @@
 
 #include "connection/call.hpp"
 #include "connection/guest.hpp"
+#include "request/approach.hpp"
 #include "request/ascent.hpp"
+#include "request/freshness.hpp"
 #include "request/loads.hpp"
+#include "request/range.hpp"
 #include "version/chart.hpp"
 #include "version/guestbook.hpp"
 
@@ -31,26 +34,39 @@
     saddle::Ropes& ropes;
     const cairn::Guestbook& guestbook;
     std::function<cairn::Chart::Ptr()> chart;
-    ServiceName callerService;
+    std::function<bool()> current;  // the configuration here is as new as anyone's
+    std::unique_ptr<Approach> approach;
+    ServiceName callerService;  // of requests that begin on this machine; empty: of none
+    NodeId self;
     ZoneName zone;
-    std::uint16_t ingressPort = 0;
+    bool gateway = false;
     TollTerms toll;
     std::uint64_t seed = 0;
   };
   explicit Egress(Parts parts);
   void visit(const saddle::Visit::Ptr& visit);
-  void setNodes(std::size_t nodes) { toll_.setNodes(nodes); }
+  // May this request run before those ahead of it on its connection are answered?
+  [[nodiscard]] bool mayRunAhead(const saddle::Visit& visit) const;
+  // Nodes that carry traffic: those in this zone, all, and all ever heard of.
+  void setFleet(std::size_t near, std::size_t all, std::size_t ever) {
+    toll_.setNodes(ever);
+    range_.fleet(near, all);
+  }
+  void sweep(Instant now) { loads_.sweep(now); }
+  [[nodiscard]] auto view(Instant now) const { return range_.view(now); }
   void refuseAll(bool on) { refusing_ = on; }
   [[nodiscard]] const EgressCounts& counts() const { return counts_; }
   [[nodiscard]] int inFlight() const { return inFlight_; }
 
  private:
   friend class Trip;
-  std::vector<Candidate> candidates(const ServiceName& service, bool once);
+  const cairn::Route* routeOf(const saddle::Visit& visit, const cairn::Chart& chart) const;
   Parts parts_;
   Wayfinder wayfinder_;
   Toll toll_;
   Loads loads_;
+  Range range_;
+  Freshness freshness_;
   EgressCounts counts_;
   int inFlight_ = 0;
   bool refusing_ = false;
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -5,8 +5,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <utility>
 
+#include "request/approach.hpp"
 #include "request/hop.hpp"
 
 namespace merlin::trail {
@@ -26,6 +28,9 @@
 constexpr Span kFreshSafe = std::chrono::seconds(20);
 // Servers that say they drain take nothing new after this part of the drain time.
 constexpr double kDrainPart = 0.5;
+constexpr double kWeight = 0.1;   // of the newest answer in the share that fails
+constexpr int kTellStep = 2;      // tenths by which it must have changed to be told
+constexpr Span kTellEvery = std::chrono::milliseconds(500);
 
 std::int64_t numberOf(const std::string& text, std::int64_t otherwise) {
   std::int64_t out = otherwise;
@@ -92,7 +97,7 @@
     running_ = true;
     ++ingress_.counts_.admitted;
     began_ = ingress_.parts_.bell.now();
-    send(once_ ? kFreshOnce : kFreshSafe);
+    send(ingress_.freshness_.limit(service(), once_ ? kFreshOnce : kFreshSafe, began_));
   }
 
   void refuse(const char* why) {
@@ -103,6 +108,9 @@
   }
 
  private:
+  // One server stands behind an ingress: one name does for all its lives.
+  static ServiceName service() { return ServiceName(); }
+
   [[nodiscard]] std::string load() const {
     const auto it = ingress_.gates_.find(id_);
     if (it == ingress_.gates_.end()) return "0,1";
@@ -145,7 +153,7 @@
     request.set("Deadline-Ms", std::to_string(std::max<std::int64_t>(1, left)));
     saddle::planHeaders(visit_->plan, visit_->request, request);
     call_ = parts.ropes.call(Poco::Net::SocketAddress(parts.appAddress), request, visit_->plan.kind,
-                             freshness);
+                             freshness, id_.str());
     const auto self = shared_from_this();
     call_->onHead = [self](HTTPResponse& response, const BodyPlan& plan) {
       self->answerHead(response, plan);
@@ -164,9 +172,10 @@
   void answerHead(HTTPResponse& response, const BodyPlan& plan) {
     answered_ = true;
     const int status = response.getStatus();
-    turnedAway_ =
-        status == 421 || (response.has("Not-Executed") && (status == 503 || status == 429));
+    turnedAway_ = turnedAway(response);
     if (turnedAway_) return;
+    const bool hollow = status == 503 && !response.has("Not-Executed");
+    ingress_.answered(id_, status != 500 && status != 502 && !hollow && !unsealed(response));
     HTTPResponse out(HTTPMessage::HTTP_1_1, response.getStatus(), response.getReason());
     saddle::copyHeaders(response, out, hop::ours);
     // This request still counts as running: the load told is without it.
@@ -201,7 +210,17 @@
   }
 
   void callFailed(Call::Failure failure) {
+    const Instant now = ingress_.parts_.bell.now();
+    const Span idled = call_ ? call_->idled() : Span(-1);
     call_ = nullptr;
+    if (idled >= Span(0) && failure == Call::Failure::stale) {
+      ingress_.freshness_.stale(service(), idled, now);
+    } else if (idled >= Span(0) && failure == Call::Failure::junk) {
+      ingress_.freshness_.outOfStep(service(), now);
+    }
+    if (failure != Call::Failure::notSent && failure != Call::Failure::stale) {
+      ingress_.answered(id_, false);
+    }
     if (streaming_) {
       ++ingress_.counts_.unclear;
       const auto visit = visit_;
@@ -291,6 +310,8 @@
       return gate.closes && gate.turnstile.running() == 0 && gate.waiting.empty();
     });
     it = gates_.emplace(server.id, Gate(server.slots)).first;
+    // It drained before this life of the node began: an earlier one may have acknowledged it.
+    if (server.status != cairn::Server::Status::available) it->second.closes = now;
   }
   auto& gate = it->second;
   gate.turnstile.setSlots(server.slots);
@@ -306,6 +327,20 @@
   });
 }
 
+void Ingress::answered(const InstanceId& id, bool well) {
+  const auto it = gates_.find(id);
+  if (it == gates_.end()) return;
+  auto& gate = it->second;
+  gate.failing += kWeight * ((well ? 0.0 : 1.0) - gate.failing);
+  const int tenths = static_cast<int>(gate.failing * 10 + 0.5);
+  const Instant now = parts_.bell.now();
+  const bool tell = std::abs(tenths - gate.ill) >= kTellStep || (tenths == 0 && gate.ill != 0);
+  if (!tell || now - gate.illAt < kTellEvery) return;
+  gate.ill = tenths;
+  gate.illAt = now;
+  parts_.ill(id, tenths);
+}
+
 void Ingress::arm(const InstanceId& id, Gate& gate) {
   parts_.bell.cancel(gate.timer);
   gate.timer = 0;
--- a/src/request/ingress.hpp
+++ b/src/request/ingress.hpp
@@ -10,6 +10,7 @@
 
 #include "connection/call.hpp"
 #include "connection/guest.hpp"
+#include "request/freshness.hpp"
 #include "request/turnstile.hpp"
 #include "version/guestbook.hpp"
 
@@ -33,6 +34,8 @@
     std::function<std::optional<cairn::Server>(const InstanceId&)> server;
     Span drainTimeout{};
     std::function<void(const InstanceId&)> serverRefuses;  // no connection comes up
+    // Tenths of the server's answers that fail: told where it has changed much.
+    std::function<void(const InstanceId&, int)> ill;
   };
   explicit Ingress(Parts parts);
   void visit(const saddle::Visit::Ptr& visit);
@@ -49,11 +52,16 @@
     std::optional<Instant> closes;  // nothing new is passed on from here on
     std::map<Turnstile::Ticket, std::weak_ptr<class Passage>> waiting;
     hut::Bell::TimerId timer = 0;
+    double failing = 0;  // the share of its answers that fail, weighted to the newest
+    int ill = 0;         // as last told
+    Instant illAt;
   };
+  void answered(const InstanceId& id, bool well);
   void move(const InstanceId& id, const Turnstile::Moves& moves);
   void arm(const InstanceId& id, Gate& gate);
   Parts parts_;
   std::map<InstanceId, Gate> gates_;
+  Freshness freshness_;
   std::uint64_t tickets_ = 0;
   IngressCounts counts_;
 };
--- a/src/request/loads.cpp
+++ b/src/request/loads.cpp
@@ -10,8 +10,24 @@
 constexpr double kShutFirstMs = 200;
 constexpr Span kDoubt = std::chrono::seconds(2);
 constexpr double kShutMostMs = 3000;
+constexpr double kWeight = 0.2;     // of the newest answer in the share that fails
+constexpr double kEjectAt = 0.35;   // two failures close together
+constexpr double kAfterTrial = 0.2;
+constexpr double kEjectFirstMs = 1500;
+constexpr int kEjectSteps = 3;
+constexpr Span kForgetBook = std::chrono::seconds(60);
 }  // namespace
 
+void Loads::began(const InstanceId& id, Instant now) {
+  auto& book = books_[id];
+  ++book.own;
+  book.used = now;
+  // The first to go there after an ejection is the trial: nobody else until it is back.
+  if (book.ejections > 0 && book.ejectedUntil != Instant()) {
+    book.ejectedUntil = std::max(book.ejectedUntil, now + fromMillis(kEjectFirstMs));
+  }
+}
+
 void Loads::ended(const InstanceId& id) {
   auto& book = books_[id];
   book.own = std::max(0, book.own - 1);
@@ -36,20 +52,41 @@
   book.shutUntil = Instant();
 }
 
-bool Loads::reachable(const InstanceId& id, Instant now) const {
-  const auto it = books_.find(id);
-  return it == books_.end() || it->second.shutUntil <= now;
+void Loads::answered(const InstanceId& id, bool well, Instant now) {
+  auto& book = books_[id];
+  book.failing += kWeight * ((well ? 0.0 : 1.0) - book.failing);
+  if (book.ejectedUntil != Instant()) {
+    if (well) {
+      // The trial went well: back, and watched.
+      book.ejectedUntil = Instant();
+      book.failing = std::min(book.failing, kAfterTrial);
+      return;
+    }
+  } else if (well || book.failing < kEjectAt) {
+    if (well && book.failing < 0.02) book.ejections = 0;
+    return;
+  }
+  const double ms = kEjectFirstMs * std::pow(2.0, std::min(book.ejections, kEjectSteps));
+  ++book.ejections;
+  book.ejectedUntil = now + fromMillis(ms);
 }
 
-bool Loads::doubtful(const InstanceId& id, Instant now) const {
-  const auto it = books_.find(id);
-  return it != books_.end() && it->second.failures > 0 && now < it->second.shutUntil + kDoubt;
+void Loads::sweep(Instant now) {
+  const auto before = books_.size();
+  std::erase_if(books_, [&](const auto& entry) {
+    return entry.second.own == 0 && now - entry.second.used > kForgetBook;
+  });
+  if (books_.size() != before) ++generation_;
 }
 
-double Loads::jobs(const InstanceId& id, Instant now) const {
-  const auto it = books_.find(id);
-  if (it == books_.end()) return 0;
-  const auto& book = it->second;
+bool Loads::doubtful(const Book& book, Instant now) {
+  return book.failures > 0 && now < book.shutUntil + kDoubt;
+}
+
+bool Loads::ejected(const Book& book, Instant now) { return now < book.ejectedUntil; }
+
+double Loads::jobs(const Book& book, Instant now) {
+  if (book.others <= 0) return book.own;
   const double age = toSeconds(now - book.at);
   return book.own + std::round(book.others * std::exp(-age / kForgetSeconds));
 }
--- a/src/version/chart.cpp
+++ b/src/version/chart.cpp
@@ -80,6 +80,7 @@
   for (const auto& service : config["services"]) {
     const auto name = service["name"].get<std::string>();
     if (!services.insert(name).second) return {nullptr, "service " + name + ": named twice"};
+    chart->maxConnections_[ServiceName(name)] = service.value("max_connections", 0);
   }
   std::set<std::string> names;
   for (const auto& rule : config["route_rules"]) {
@@ -88,19 +89,15 @@
       return {nullptr, problem};
     }
     if (!names.insert(route.name).second) return {nullptr, "route " + route.name + ": named twice"};
-    auto& list = chart->hosts_[hostKey(rule["hostname"].get<std::string>())];
-    for (const auto& other : list) {
-      if (other.prefix == route.prefix) {
-        return {nullptr, "routes " + other.name + " and " + route.name + ": same host and prefix"};
-      }
+    auto& host = chart->hosts_[hostKey(rule["hostname"].get<std::string>())];
+    chart->routes_.push_back(std::move(route));
+    const auto& kept = chart->routes_.back();
+    host.longest = std::max(host.longest, kept.prefix.size());
+    const auto [other, fresh] = host.prefixes.emplace(kept.prefix, chart->routes_.size() - 1);
+    if (!fresh) {
+      return {nullptr, "routes " + chart->routes_[other->second].name + " and " + kept.name +
+                           ": same host and prefix"};
     }
-    list.push_back(std::move(route));
-    ++chart->routes_;
-  }
-  for (auto& [host, list] : chart->hosts_) {
-    std::stable_sort(list.begin(), list.end(), [](const Route& a, const Route& b) {
-      return a.prefix.size() > b.prefix.size();
-    });
   }
   if (config.contains("limits")) {
     const auto& limits = config["limits"];
@@ -117,8 +114,15 @@
   const auto it = hosts_.find(hostKey(host));
   if (it == hosts_.end()) return nullptr;
   const auto path = uri.substr(0, uri.find_first_of("?#"));
-  for (const auto& route : it->second) {
-    if (path.substr(0, route.prefix.size()) == route.prefix) return &route;
+  const auto& routes = it->second;
+  // A prefix ends with a slash: from the last one within reach to the first.
+  auto end = std::min(path.size(), routes.longest);
+  while (end > 0) {
+    const auto slash = path.rfind('/', end - 1);
+    if (slash == std::string_view::npos) break;
+    const auto hit = routes.prefixes.find(path.substr(0, slash + 1));
+    if (hit != routes.prefixes.end()) return &routes_[hit->second];
+    end = slash;
   }
   return nullptr;
 }
--- a/src/version/chart.hpp
+++ b/src/version/chart.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -54,13 +55,24 @@
   [[nodiscard]] const Route* match(std::string_view host, std::string_view uri) const;
   [[nodiscard]] Revision revision() const { return revision_; }
   [[nodiscard]] const Limits& limits() const { return limits_; }
-  [[nodiscard]] std::size_t routeCount() const { return routes_; }
+  [[nodiscard]] std::size_t routeCount() const { return routes_.size(); }
+  // 0 where the service names no bound.
+  [[nodiscard]] int maxConnections(const ServiceName& service) const {
+    const auto it = maxConnections_.find(service);
+    return it == maxConnections_.end() ? 0 : it->second;
+  }
 
  private:
   Revision revision_;
   Limits limits_;
-  std::size_t routes_ = 0;
-  std::unordered_map<std::string, std::vector<Route>> hosts_;  // longest prefix first
+  std::unordered_map<ServiceName, int> maxConnections_;
+  // Routes of a host by their prefix: a path is looked up once for each of its slashes.
+  struct Host {
+    std::unordered_map<std::string_view, std::size_t> prefixes;
+    std::size_t longest = 0;
+  };
+  std::unordered_map<std::string, Host> hosts_;
+  std::deque<Route> routes_;
 };
 
 // The configuration that an Update makes of `base`; problem set where its shape is wrong.
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -1,237 +1,485 @@
 #include "version/guestbook.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace merlin::cairn {
 
 using nlohmann::json;
 
-json toJson(const Page& page) {
-  json servers = json::array();
-  for (const auto& s : page.servers) {
-    servers.push_back(json::array({s.id.str(), s.service.str(), s.address, s.zone.str(), s.slots,
-                                   static_cast<int>(s.status), s.sequence, s.cold ? 1 : 0}));
-  }
-  const int flags = (page.node.core ? 1 : 0) + (page.node.leaving ? 2 : 0);
-  return json::array({page.node.id.str(), page.node.zone.str(), flags, page.version.life.value,
-                      page.version.count, std::move(servers)});
-}
-
-Page pageFrom(const json& j) {
-  Page page;
-  page.node.id = NodeId(j.at(0).get<std::string>());
-  page.node.zone = ZoneName(j.at(1).get<std::string>());
-  const int flags = j.at(2).get<int>();
-  page.node.core = (flags & 1) != 0;
-  page.node.leaving = (flags & 2) != 0;
-  page.version = {Life{j.at(3).get<std::uint64_t>()}, j.at(4).get<std::uint64_t>()};
-  for (const auto& s : j.at(5)) {
-    Server server;
-    server.id = InstanceId(s.at(0).get<std::string>());
-    server.service = ServiceName(s.at(1).get<std::string>());
-    server.address = s.at(2).get<std::string>();
-    server.zone = ZoneName(s.at(3).get<std::string>());
-    server.slots = std::max(1, s.at(4).get<int>());
-    const int status = s.at(5).get<int>();
-    if (status < 0 || status > 2) throw std::out_of_range("server status");
-    server.status = static_cast<Server::Status>(status);
-    server.sequence = s.at(6).get<std::uint64_t>();
-    server.cold = s.at(7).get<int>() != 0;
-    page.servers.push_back(std::move(server));
-  }
-  return page;
+namespace {
+
+constexpr Span kForgetStream = std::chrono::seconds(180);
+
+SourceId sourceOf(const NodeId& node, Life life) {
+  return SourceId(node.str() + "/" + std::to_string(life.value));
+}
+
+auto strength(const Server& s) { return std::make_tuple(s.status, s.sequence, s.edit, s.silent); }
+
+auto strength(const NodeFacts& f) { return std::make_tuple(f.incarnation, f.leaving, f.silent); }
+
+bool closed(const Server& s) { return s.status == Server::Status::gone || s.silent; }
+
+// Ended servers don't count: each node forgets them in its own time.
+std::uint64_t hashOf(const Server& s) {
+  if (closed(s)) return 0;
+  return mixHash(s.id.str(), s.sequence * 64 + s.edit * 4 + static_cast<std::uint64_t>(s.status));
+}
+
+std::uint64_t hashOf(const NodeFacts& f) {
+  return mixHash(f.id.str(),
+                 f.incarnation * 4 + (f.leaving ? 2ULL : 0ULL) + (f.silent ? 1ULL : 0ULL));
+}
+
+std::size_t rangeOf(const std::string& key) { return mixHash(key) % Guestbook::kRanges; }
+
+json nodeJson(const NodeFacts& f, const Dot& dot) {
+  const int flags = (f.core ? 1 : 0) + (f.leaving ? 2 : 0) + (f.silent ? 4 : 0);
+  return json::array({"n", f.id.str(), f.zone.str(), flags, f.incarnation, f.life.value,
+                      dot.source.str(), dot.count});
+}
+
+// `age`: how long ago it ended, in milliseconds.
+json serverJson(const Server& s, std::int64_t age, const Dot& dot) {
+  const int flags = (s.cold ? 1 : 0) + (s.silent ? 2 : 0);
+  return json::array({"s", s.id.str(), s.service.str(), s.address, s.zone.str(), s.slots,
+                      static_cast<int>(s.status), s.sequence, s.edit, flags, s.ill, s.keeper.str(),
+                      age, dot.source.str(), dot.count});
+}
+
+Dot dotFrom(const json& j, std::size_t at) {
+  return {SourceId(j.at(at).get<std::string>()), j.at(at + 1).get<std::uint64_t>()};
+}
+
+}  // namespace
+
+std::uint64_t hashOf(const SourceId& source, std::uint64_t count) {
+  return mixHash(source.str(), count);
 }
 
 json toJson(const Vector& vector) {
   json out = json::object();
-  for (const auto& [node, version] : vector) {
-    out[node.str()] = json::array({version.life.value, version.count});
-  }
+  for (const auto& [source, count] : vector) out[source.str()] = count;
   return out;
 }
 
 Vector vectorFrom(const json& j) {
   Vector out;
-  for (const auto& [node, version] : j.items()) {
-    out[NodeId(node)] = {Life{version.at(0).get<std::uint64_t>()},
-                         version.at(1).get<std::uint64_t>()};
-  }
+  for (const auto& [source, count] : j.items()) out[SourceId(source)] = count.get<std::uint64_t>();
   return out;
 }
 
-Guestbook::Guestbook(NodeFacts self, Life life) : self_(self.id) {
-  Page page;
-  page.node = std::move(self);
-  page.version = {life, 1};
-  pages_.emplace(self_, std::move(page));
+Guestbook::Guestbook(NodeFacts self, Life life) : self_(self.id), source_(sourceOf(self_, life)) {
+  self.incarnation = 1;
+  self.life = life;
+  putNode(self, newDot());
+}
+
+Dot Guestbook::newDot() {
+  come(source_, ++count_);
+  return {source_, count_};
 }
 
-void Guestbook::touched() {
-  ++mine().version.count;
-  ++changes_;
+void Guestbook::come(const SourceId& source, std::uint64_t count) {
+  auto& held = vector_[source];
+  if (held >= count && held != 0) return;
+  if (held != 0) vectorHash_ ^= hashOf(source, held);
+  held = count;
+  vectorHash_ ^= hashOf(source, held);
+  streams_[source].touched = lastNow_;
+}
+
+// A word takes the place of whatever is held of that server.
+void Guestbook::put(const Server& server, const Dot& dot, Instant closedAt) {
+  auto& item = servers_[server.id];
+  if (!item.server.id.empty()) {
+    digest_ ^= hashOf(item.server);
+    streams_[item.dot.source].items.erase(item.dot.count);
+    if (item.server.service != server.service) {
+      services_[item.server.service].erase(server.id);
+      ++changes_[item.server.service];
+    }
+  }
+  const bool wasClosed = item.closedAt.has_value();
+  item.server = server;
+  item.dot = dot;
+  if (!closed(server)) {
+    item.closedAt.reset();
+  } else if (!wasClosed) {
+    item.closedAt = closedAt;
+  }
+  digest_ ^= hashOf(server);
+  streams_[dot.source].items[dot.count] = Key{false, server.id.str()};
+  auto& list = services_[server.service];
+  if (server.usable()) {
+    list[server.id] = &item.server;
+  } else {
+    list.erase(server.id);
+  }
+  ++changes_[server.service];
+}
+
+void Guestbook::putNode(const NodeFacts& facts, const Dot& dot) {
+  const auto it = facts_.find(facts.id);
+  if (it != facts_.end()) {
+    digest_ ^= hashOf(it->second);
+    const auto& old = nodeDots_[facts.id];
+    streams_[old.source].items.erase(old.count);
+  }
+  facts_[facts.id] = facts;
+  nodeDots_[facts.id] = dot;
+  digest_ ^= hashOf(facts);
+  streams_[dot.source].items[dot.count] = Key{true, facts.id.str()};
+  if (facts.silent || facts.leaving) {
+    downSince_.try_emplace(facts.id, lastNow_);
+  } else {
+    downSince_.erase(facts.id);
+  }
+}
+
+void Guestbook::erase(const InstanceId& id) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  digest_ ^= hashOf(it->second.server);
+  streams_[it->second.dot.source].items.erase(it->second.dot.count);
+  services_[it->second.server.service].erase(id);
+  ++changes_[it->second.server.service];
+  servers_.erase(it);
 }
 
 Guestbook::Beat Guestbook::beat(const Server& server, Instant now) {
-  auto& servers = mine().servers;
-  const auto it = std::find_if(servers.begin(), servers.end(),
-                               [&](const Server& s) { return s.id == server.id; });
-  if (it == servers.end()) {
-    heard_[server.id] = now;
-    servers.push_back(server);
-    touched();
-    return Beat::news;
-  }
-  if (server.sequence < it->sequence || ended_.contains(server.id)) return Beat::stale;
-  heard_[server.id] = now;
-  const bool same = it->status == server.status && it->slots == server.slots &&
-                    it->address == server.address && it->cold == server.cold &&
-                    it->service == server.service;
-  it->sequence = server.sequence;
-  if (same) return Beat::same;
-  // A server that said it drains never comes back within its life.
-  const bool drains = it->status == Server::Status::draining;
-  *it = server;
-  if (drains) it->status = Server::Status::draining;
-  touched();
+  lastNow_ = now;
+  auto [heard, first] = heard_.try_emplace(server.id);
+  if (!first && server.sequence < heard->second.sequence) return Beat::stale;
+  heard->second = {now, server.sequence};
+  const auto it = servers_.find(server.id);
+  Server word = server;
+  word.keeper = self_;
+  if (it != servers_.end()) {
+    const auto& held = it->second.server;
+    if (held.status == Server::Status::gone) return Beat::stale;
+    const bool same = held.status == word.status && held.slots == word.slots &&
+                      held.address == word.address && held.cold == word.cold &&
+                      held.service == word.service && held.keeper == self_ && !held.silent;
+    if (same) return Beat::same;
+    // A word that was overtaken by a later one of the same server's, heard elsewhere.
+    if (word.sequence < held.sequence) return Beat::stale;
+    word.status = std::max(word.status, held.status);
+    word.ill = held.keeper == self_ ? held.ill : 0;
+    word.edit = word.sequence == held.sequence ? held.edit + 1 : 0;
+  }
+  write(word, now);
   return Beat::news;
 }
 
 bool Guestbook::deregister(const InstanceId& id, Instant now) {
-  if (ended_.contains(id)) return false;
-  ended_[id] = now;
-  auto& servers = mine().servers;
-  auto it =
-      std::find_if(servers.begin(), servers.end(), [&](const Server& s) { return s.id == id; });
-  if (it == servers.end()) {
-    Server server;
-    if (const auto known = find(id)) server = *known;
-    server.id = id;
-    it = servers.insert(servers.end(), server);
-  }
-  it->status = Server::Status::gone;
-  ++it->sequence;
-  touched();
+  lastNow_ = now;
+  const auto it = servers_.find(id);
+  Server word;
+  if (it != servers_.end()) {
+    word = it->second.server;
+    if (word.status == Server::Status::gone) return false;
+  }
+  word.id = id;
+  word.status = Server::Status::gone;
+  word.keeper = self_;
+  write(word, now);
   return true;
 }
 
-bool Guestbook::silence(const InstanceId& id) {
-  auto& servers = mine().servers;
-  const auto it = std::find_if(servers.begin(), servers.end(), [&](const Server& s) {
-    return s.id == id && s.status != Server::Status::gone;
-  });
-  if (it == servers.end()) return false;
-  servers.erase(it);
-  heard_.erase(id);
-  touched();
+bool Guestbook::silence(const InstanceId& id, Instant now) {
+  lastNow_ = now;
+  const auto it = servers_.find(id);
+  if (it == servers_.end() || closed(it->second.server)) return false;
+  Server word = it->second.server;
+  word.silent = true;
+  write(word, now);
+  return true;
+}
+
+bool Guestbook::setIll(const InstanceId& id, int tenths) {
+  const auto it = servers_.find(id);
+  if (it == servers_.end() || it->second.server.ill == tenths ||
+      it->second.server.keeper != self_) {
+    return false;
+  }
+  Server word = it->second.server;
+  word.ill = tenths;
+  ++word.edit;
+  write(word, lastNow_);
   return true;
 }
 
 bool Guestbook::expire(Instant now, Span silent, Span forget) {
-  std::vector<InstanceId> quiet;
-  for (const auto& server : mine().servers) {
-    if (ended_.contains(server.id)) {
-      if (now - ended_[server.id] > forget) quiet.push_back(server.id);
-    } else if (now - heard_[server.id] > silent) {
-      quiet.push_back(server.id);
-    }
+  lastNow_ = now;
+  bool changed = false;
+  std::erase_if(heard_, [&](const auto& entry) {
+    const auto& [id, heard] = entry;
+    if (now - heard.at <= silent) return false;
+    const auto it = servers_.find(id);
+    if (it == servers_.end() || it->second.server.keeper != self_) return true;
+    if (closed(it->second.server)) return now - heard.at > forget;
+    Server word = it->second.server;
+    word.silent = true;
+    write(word, now);
+    changed = true;
+    return false;
+  });
+  std::vector<InstanceId> missed;
+  std::erase_if(expected_, [&](const auto& entry) {
+    if (heard_.contains(entry.first)) return true;
+    if (now - entry.second <= silent) return false;
+    missed.push_back(entry.first);
+    return true;
+  });
+  for (const auto& id : missed) {
+    const auto held = find(id);
+    if (held && held->keeper == self_) changed = silence(id, now) || changed;
   }
-  for (const auto& id : quiet) {
-    std::erase_if(mine().servers, [&](const Server& s) { return s.id == id; });
+  std::vector<InstanceId> old;
+  for (const auto& [id, item] : servers_) {
+    if (item.closedAt && now - *item.closedAt > forget) old.push_back(id);
+  }
+  for (const auto& id : old) {
+    erase(id);
     heard_.erase(id);
-    ended_.erase(id);
   }
-  if (!quiet.empty()) touched();
-  return !quiet.empty();
+  // Lives that are over and hold no word any more are struck from the vector.
+  std::erase_if(streams_, [&](const auto& entry) {
+    const auto& [source, stream] = entry;
+    if (!stream.items.empty() || source == source_ || now - stream.touched <= kForgetStream) {
+      return false;
+    }
+    const auto held = vector_.find(source);
+    if (held != vector_.end()) {
+      vectorHash_ ^= hashOf(source, held->second);
+      vector_.erase(held);
+    }
+    return true;
+  });
+  return changed;
+}
+
+bool Guestbook::orphans(Instant now, Span silent,
+                        const std::function<bool(const InstanceId&)>& mine) {
+  lastNow_ = now;
+  if (downSince_.empty()) return false;
+  std::vector<Server> lost;
+  for (const auto& [id, item] : servers_) {
+    if (closed(item.server)) continue;
+    const auto down = downSince_.find(item.server.keeper);
+    if (down != downSince_.end() && now - down->second > silent && mine(id)) {
+      lost.push_back(item.server);
+    }
+  }
+  for (auto& word : lost) {
+    word.silent = true;
+    write(word, now);
+  }
+  return !lost.empty();
 }
 
 void Guestbook::leave() {
-  mine().node.leaving = true;
-  touched();
+  auto facts = self();
+  facts.leaving = true;
+  putNode(facts, newDot());
 }
 
-bool Guestbook::merge(const Page& page, Instant /*now*/) {
-  const auto it = pages_.find(page.node.id);
-  if (page.node.id == self_) {
-    // Somebody holds a page from an earlier life of this node: step over it.
-    auto& own = mine();
-    if (page.version.life < own.version.life || page.version == own.version) return false;
-    if (page.version.life == own.version.life && page.version.count <= own.version.count) {
-      return false;
+bool Guestbook::nodeSilent(const NodeId& id) {
+  const auto it = facts_.find(id);
+  if (it == facts_.end() || it->second.silent || it->second.leaving || id == self_) return false;
+  auto facts = it->second;
+  facts.silent = true;
+  putNode(facts, newDot());
+  return true;
+}
+
+bool Guestbook::lacks(const Vector& have) const {
+  for (const auto& [source, count] : vector_) {
+    const auto had = have.find(source);
+    const std::uint64_t from = had == have.end() ? 0 : had->second;
+    if (from >= count) continue;
+    const auto stream = streams_.find(source);
+    if (stream != streams_.end() &&
+        stream->second.items.upper_bound(from) != stream->second.items.end()) {
+      return true;
     }
-    own.version.life = Life{page.version.life.value + 1};
-    touched();
-    return true;
   }
-  if (it != pages_.end() && page.version <= it->second.version) return false;
-  pages_[page.node.id] = page;
-  ++changes_;
-  return true;
+  return false;
+}
+
+json Guestbook::itemJson(const Key& key, Instant now) const {
+  if (key.node) {
+    const NodeId id(key.name);
+    return nodeJson(facts_.at(id), nodeDots_.at(id));
+  }
+  const auto& item = servers_.at(InstanceId(key.name));
+  const std::int64_t age = item.closedAt ? (now - *item.closedAt).count() / 1000 : 0;
+  return serverJson(item.server, age, item.dot);
 }
 
-void Guestbook::drop(const NodeId& source) {
-  if (source != self_ && pages_.erase(source) > 0) ++changes_;
+json Guestbook::newerThan(const Vector& have, Instant now) const {
+  json out = json::array();
+  for (const auto& [source, count] : vector_) {
+    const auto had = have.find(source);
+    const std::uint64_t from = had == have.end() ? 0 : had->second;
+    if (from >= count) continue;
+    const auto stream = streams_.find(source);
+    if (stream == streams_.end()) continue;
+    for (auto it = stream->second.items.upper_bound(from); it != stream->second.items.end(); ++it) {
+      out.push_back(itemJson(it->second, now));
+    }
+  }
+  return out;
 }
 
-Vector Guestbook::vector() const {
+Vector Guestbook::above(const Vector& have) const {
   Vector out;
-  for (const auto& [node, page] : pages_) out[node] = page.version;
+  for (const auto& [source, count] : vector_) {
+    const auto had = have.find(source);
+    if (had == have.end() || had->second < count) out.emplace_hint(out.end(), source, count);
+  }
   return out;
 }
 
-std::uint64_t Guestbook::digest() const {
-  std::uint64_t sum = 0;
-  for (const auto& [node, page] : pages_) {
-    sum ^= mixHash(node.str() + "/" + std::to_string(page.version.life.value) + "/" +
-                   std::to_string(page.version.count));
+bool Guestbook::mergeServer(const json& j, Instant now) {
+  Server s;
+  s.id = InstanceId(j.at(1).get<std::string>());
+  s.service = ServiceName(j.at(2).get<std::string>());
+  s.address = j.at(3).get<std::string>();
+  s.zone = ZoneName(j.at(4).get<std::string>());
+  s.slots = std::max(1, j.at(5).get<int>());
+  const int status = j.at(6).get<int>();
+  if (status < 0 || status > 2) throw std::out_of_range("server status");
+  s.status = static_cast<Server::Status>(status);
+  s.sequence = j.at(7).get<std::uint64_t>();
+  s.edit = j.at(8).get<std::uint32_t>();
+  const int flags = j.at(9).get<int>();
+  s.cold = (flags & 1) != 0;
+  s.silent = (flags & 2) != 0;
+  s.ill = j.at(10).get<int>();
+  s.keeper = NodeId(j.at(11).get<std::string>());
+  const auto age = std::max<std::int64_t>(0, j.at(12).get<std::int64_t>());
+  const Dot dot = dotFrom(j, 13);
+  const auto it = servers_.find(s.id);
+  if (it != servers_.end() && strength(s) <= strength(it->second.server)) return false;
+  // The stronger word may come from a node that never heard what the server is.
+  if (it != servers_.end() && s.service.empty()) {
+    s.service = it->second.server.service;
+    s.address = it->second.server.address;
   }
-  return sum;
+  put(s, dot, now - fromMillis(static_cast<double>(age)));
+  if (s.keeper == self_ && !heard_.contains(s.id)) expected_.try_emplace(s.id, now);
+  return true;
 }
 
-std::vector<const Page*> Guestbook::newerThan(const Vector& have) const {
-  std::vector<const Page*> out;
-  for (const auto& [node, page] : pages_) {
-    const auto it = have.find(node);
-    if (it == have.end() || it->second < page.version) out.push_back(&page);
+bool Guestbook::mergeNode(const json& j) {
+  NodeFacts f;
+  f.id = NodeId(j.at(1).get<std::string>());
+  f.zone = ZoneName(j.at(2).get<std::string>());
+  const int flags = j.at(3).get<int>();
+  f.core = (flags & 1) != 0;
+  f.leaving = (flags & 2) != 0;
+  f.silent = (flags & 4) != 0;
+  f.incarnation = j.at(4).get<std::uint64_t>();
+  f.life = Life{j.at(5).get<std::uint64_t>()};
+  const Dot dot = dotFrom(j, 6);
+  if (f.id == self_) {
+    // Others remember an earlier life, or take this one for dead: step over it.
+    auto own = self();
+    if (f.incarnation < own.incarnation) return false;
+    if (f.life == own.life && strength(f) <= strength(own)) return false;
+    own.incarnation = f.incarnation + 1;
+    putNode(own, newDot());
+    return true;
   }
-  return out;
+  const auto it = facts_.find(f.id);
+  if (it != facts_.end()) {
+    const bool stronger = strength(f) > strength(it->second) ||
+                          (strength(f) == strength(it->second) && f.life > it->second.life);
+    if (!stronger) return false;
+  }
+  putNode(f, dot);
+  return true;
 }
 
-std::optional<Server> Guestbook::find(const InstanceId& id) const {
-  const Server* best = nullptr;
-  for (const auto& [node, page] : pages_) {
-    for (const auto& server : page.servers) {
-      if (server.id != id) continue;
-      if (best == nullptr || std::make_pair(server.status, server.sequence) >
-                                 std::make_pair(best->status, best->sequence)) {
-        best = &server;
-      }
+bool Guestbook::merge(const json& items, const Vector& came, Instant now) {
+  lastNow_ = now;
+  bool changed = false;
+  for (const auto& item : items) {
+    const auto kind = item.at(0).get<std::string>();
+    if (kind == "s") {
+      changed = mergeServer(item, now) || changed;
+    } else if (kind == "n") {
+      changed = mergeNode(item) || changed;
     }
   }
-  return best == nullptr ? std::nullopt : std::make_optional(*best);
+  // Only after its items: the vector says that all of them are here.
+  for (const auto& [source, count] : came) {
+    const auto stream = streams_.find(source);
+    const bool known = vector_.contains(source) ||
+                       (stream != streams_.end() && !stream->second.items.empty());
+    // A life without any word, unknown here: somebody has not struck it yet.
+    if (known) come(source, count);
+  }
+  return changed;
 }
 
-std::vector<Server> Guestbook::available(const ServiceName& service) const {
-  std::map<InstanceId, Server> byId;
-  for (const auto& [node, page] : pages_) {
-    for (const auto& server : page.servers) {
-      if (server.service != service) continue;
-      auto& slot = byId[server.id];
-      if (slot.id.empty() || std::make_pair(server.status, server.sequence) >
-                                 std::make_pair(slot.status, slot.sequence)) {
-        slot = server;
-      }
-    }
+json Guestbook::itemsIn(std::uint32_t mask, Instant now) const {
+  json out = json::array();
+  const auto wanted = [&](const std::string& key) { return ((mask >> rangeOf(key)) & 1U) != 0; };
+  for (const auto& [id, facts] : facts_) {
+    if (wanted(id.str())) out.push_back(itemJson({true, id.str()}, now));
   }
-  std::vector<Server> out;
-  for (auto& [id, server] : byId) {
-    if (server.status == Server::Status::available) out.push_back(std::move(server));
+  for (const auto& [id, item] : servers_) {
+    if (wanted(id.str())) out.push_back(itemJson({false, id.str()}, now));
   }
   return out;
 }
 
-Instant Guestbook::lastBeat(const InstanceId& id) const {
-  const auto it = heard_.find(id);
-  return it == heard_.end() ? Instant() : it->second;
+Guestbook::Ranges Guestbook::ranges() const {
+  Ranges out{};
+  for (const auto& [id, facts] : facts_) out.at(rangeOf(id.str())) ^= hashOf(facts);
+  for (const auto& [id, item] : servers_) out.at(rangeOf(id.str())) ^= hashOf(item.server);
+  return out;
+}
+
+void Guestbook::drop(const InstanceId& id) { erase(id); }
+
+std::optional<Server> Guestbook::find(const InstanceId& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? std::nullopt : std::make_optional(it->second.server);
+}
+
+std::optional<Server> Guestbook::heardHere(const InstanceId& id) const {
+  return heard_.contains(id) ? find(id) : std::nullopt;
+}
+
+std::vector<Server> Guestbook::servers() const {
+  std::vector<Server> out;
+  out.reserve(servers_.size());
+  for (const auto& [id, item] : servers_) out.push_back(item.server);
+  return out;
+}
+
+std::vector<Server> Guestbook::usable(const ServiceName& service) const {
+  std::vector<Server> out;
+  const auto it = services_.find(service);
+  if (it == services_.end()) return out;
+  out.reserve(it->second.size());
+  for (const auto& [id, server] : it->second) out.push_back(*server);
+  return out;
+}
+
+std::uint64_t Guestbook::changes(const ServiceName& service) const {
+  const auto it = changes_.find(service);
+  return it == changes_.end() ? 0 : it->second;
+}
+
+std::optional<Dot> Guestbook::dotOf(const InstanceId& id) const {
+  const auto it = servers_.find(id);
+  return it == servers_.end() ? std::nullopt : std::make_optional(it->second.dot);
 }
 
 }  // namespace merlin::cairn
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -1,20 +1,25 @@
-// guestbook: what every node knows of the others and of the servers. One page per source, which
-// only that source writes; pages travel by version vector. No clock of its own, no sockets.
+// guestbook: what every node knows of the others and of the servers. Each is one item, joined by
+// whichever word is stronger, so no order of news and no restart of whoever heard a word can undo
+// it. Items carry the dot of the word they hold: a life of a source, and how far it had come. No
+// clock of its own, no sockets.
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "units.hpp"
-#include "version/register.hpp"
 
 namespace merlin::cairn {
 
 struct Server {
+  // Rises only: a server that drains never comes back within its life.
   enum class Status : std::uint8_t { available, draining, gone };
   InstanceId id;
   ServiceName service;
@@ -22,8 +27,13 @@
   ZoneName zone;
   int slots = 1;
   Status status = Status::available;
-  std::uint64_t sequence = 0;
+  std::uint64_t sequence = 0;  // of the beat that this word rests on
+  std::uint32_t edit = 0;      // orders what its keeper says between two beats
   bool cold = false;
+  bool silent = false;  // its beats have stopped
+  int ill = 0;          // tenths of its answers that fail, as its keeper sees them
+  NodeId keeper;        // the node that hears its beats
+  [[nodiscard]] bool usable() const { return status == Status::available && !silent; }
 };
 
 struct NodeFacts {
@@ -31,23 +41,29 @@
   ZoneName zone;
   bool core = false;  // has a disk and may vote
   bool leaving = false;
+  bool silent = false;            // nobody hears it any more; it says so itself when that's wrong
+  std::uint64_t incarnation = 0;  // orders its words; only the node itself raises it
+  Life life;
 };
 
-struct Page {
-  NodeFacts node;
-  Version version;
-  std::vector<Server> servers;
-};
+// One life of one node as a source of words.
+using SourceId = Name<struct SourceTag>;
+using Vector = std::map<SourceId, std::uint64_t>;
 
-using Vector = std::map<NodeId, Version>;
+struct Dot {
+  SourceId source;
+  std::uint64_t count = 0;
+};
 
-nlohmann::json toJson(const Page& page);
-Page pageFrom(const nlohmann::json& j);
 nlohmann::json toJson(const Vector& vector);
 Vector vectorFrom(const nlohmann::json& j);
+std::uint64_t hashOf(const SourceId& source, std::uint64_t count);
 
 class Guestbook {
  public:
+  static constexpr std::size_t kRanges = 16;
+  using Ranges = std::array<std::uint64_t, kRanges>;
+
   Guestbook(NodeFacts self, Life life);
 
   enum class Beat : std::uint8_t { news, same, stale };
@@ -55,35 +71,87 @@
   Beat beat(const Server& server, Instant now);
   bool deregister(const InstanceId& id, Instant now);
   // This node's own look at a server beside it that doesn't answer.
-  bool silence(const InstanceId& id);
-  // Drops own servers that have not beaten for `silent`, and forgets gone ones after a while.
+  bool silence(const InstanceId& id, Instant now);
+  bool setIll(const InstanceId& id, int tenths);
+  // Marks servers heard here that have not beaten for `silent`, and forgets what ended long ago.
   bool expire(Instant now, Span silent, Span forget);
+  // Servers whose keeper is silent or has left for so long that their beats must have stopped.
+  bool orphans(Instant now, Span silent, const std::function<bool(const InstanceId&)>& mine);
   void leave();
+  bool nodeSilent(const NodeId& id);
 
-  // Takes a page if it is newer than the one held; true if anything changed.
-  bool merge(const Page& page, Instant now);
-  void drop(const NodeId& source);
+  // What `have` lacks, but for words of `except` itself; false if that is nothing.
+  bool lacks(const Vector& have) const;
+  nlohmann::json newerThan(const Vector& have, Instant now) const;
+  // Vector entries above `have`.
+  [[nodiscard]] Vector above(const Vector& have) const;
+  // Takes items and, after them, how far the sender had come. True if anything changed.
+  bool merge(const nlohmann::json& items, const Vector& come, Instant now);
+  // All items of the ranges in `mask`.
+  [[nodiscard]] nlohmann::json itemsIn(std::uint32_t mask, Instant now) const;
+  [[nodiscard]] Ranges ranges() const;
+  // For tests: an item is lost, as by a fault.
+  void drop(const InstanceId& id);
 
-  [[nodiscard]] Vector vector() const;
-  [[nodiscard]] std::uint64_t digest() const;
-  [[nodiscard]] std::vector<const Page*> newerThan(const Vector& have) const;
-  [[nodiscard]] const std::map<NodeId, Page>& pages() const { return pages_; }
-  [[nodiscard]] const Page& own() const { return pages_.at(self_); }
-  // The strongest word on one server, over all sources.
+  [[nodiscard]] const Vector& vector() const { return vector_; }
+  [[nodiscard]] std::uint64_t vectorHash() const { return vectorHash_; }
+  // Over the items that still matter; equal digests mean equal books.
+  [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  [[nodiscard]] const std::map<NodeId, NodeFacts>& nodes() const { return facts_; }
+  [[nodiscard]] const NodeFacts& self() const { return facts_.at(self_); }
   [[nodiscard]] std::optional<Server> find(const InstanceId& id) const;
-  // Servers of a service that are available, each once.
-  [[nodiscard]] std::vector<Server> available(const ServiceName& service) const;
-  [[nodiscard]] std::uint64_t changes() const { return changes_; }
-  [[nodiscard]] Instant lastBeat(const InstanceId& id) const;
+  // What this node itself has heard from a server, in this life of the node.
+  [[nodiscard]] std::optional<Server> heardHere(const InstanceId& id) const;
+  [[nodiscard]] std::vector<Server> servers() const;
+  // Servers of a service that are usable, and a number that changes whenever the list does.
+  [[nodiscard]] std::vector<Server> usable(const ServiceName& service) const;
+  [[nodiscard]] std::uint64_t changes(const ServiceName& service) const;
+  [[nodiscard]] std::optional<Dot> dotOf(const InstanceId& id) const;
 
  private:
-  void touched();
-  Page& mine() { return pages_.at(self_); }
+  struct Item {
+    Server server;
+    Dot dot;
+    std::optional<Instant> closedAt;  // gone or silent since
+  };
+  struct Heard {
+    Instant at;
+    std::uint64_t sequence = 0;
+  };
+  struct Key {
+    bool node = false;
+    std::string name;
+  };
+  struct Stream {
+    std::map<std::uint64_t, Key> items;  // by the count of the word they hold
+    Instant touched;
+  };
+  Dot newDot();
+  void come(const SourceId& source, std::uint64_t count);
+  void put(const Server& server, const Dot& dot, Instant closedAt);
+  void putNode(const NodeFacts& facts, const Dot& dot);
+  void write(const Server& server, Instant now) { put(server, newDot(), now); }
+  void erase(const InstanceId& id);
+  bool mergeServer(const nlohmann::json& j, Instant now);
+  bool mergeNode(const nlohmann::json& j);
+  [[nodiscard]] nlohmann::json itemJson(const Key& key, Instant now) const;
+
   NodeId self_;
-  std::map<NodeId, Page> pages_;
-  std::map<InstanceId, Instant> heard_;
-  std::map<InstanceId, Instant> ended_;
-  std::uint64_t changes_ = 0;
+  SourceId source_;
+  std::uint64_t count_ = 0;
+  std::unordered_map<InstanceId, Item> servers_;
+  std::map<ServiceName, std::map<InstanceId, const Server*>> services_;
+  std::map<ServiceName, std::uint64_t> changes_;
+  std::map<NodeId, NodeFacts> facts_;
+  std::map<NodeId, Dot> nodeDots_;
+  std::map<NodeId, Instant> downSince_;  // silent or leaving nodes, as seen here
+  std::unordered_map<InstanceId, Heard> heard_;
+  std::map<InstanceId, Instant> expected_;  // an earlier life of this node heard them
+  std::map<SourceId, Stream> streams_;
+  Vector vector_;
+  std::uint64_t vectorHash_ = 0;
+  std::uint64_t digest_ = 0;
+  Instant lastNow_;
 };
 
 }  // namespace merlin::cairn
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -7,7 +7,7 @@
 using nlohmann::json;
 
 namespace {
-constexpr Span kRoundTime = std::chrono::milliseconds(200);
+constexpr std::size_t kShortText = 2048;  // not worth packing
 constexpr std::uint64_t kBackOffMs = 20;
 constexpr int kBackOffSteps = 4;
 
@@ -36,7 +36,45 @@
   return {j.at(0).get<std::uint64_t>(), NodeId(j.at(1).get<std::string>())};
 }
 
-json toJson(const Value& value) {
+namespace {
+// The text itself, or whichever of its short forms the reader can use.
+void writeText(const Signboard& board, std::uint64_t has, const Shelf* shelf, json& out) {
+  out["i"] = board.id();
+  if (has == board.id()) return;
+  if (board.text().size() <= kShortText) {
+    out["c"] = board.text();
+    return;
+  }
+  const auto base = shelf == nullptr || has == 0 ? nullptr : shelf->find(has);
+  if (base) {
+    const auto& delta = board.deltaFrom(*base);
+    if (delta.size() < board.text().size() / 8) {
+      out["d"] = delta;
+      out["o"] = has;
+      return;
+    }
+  }
+  out["z"] = board.packed();
+}
+
+Signboard::Ptr readText(const json& j, const Shelf* shelf) {
+  const auto id = j.at("i").get<std::uint64_t>();
+  auto board = shelf == nullptr ? nullptr : shelf->find(id);
+  if (board) return board;
+  if (j.contains("c")) {
+    board = Signboard::of(j.at("c").get<std::string>());
+  } else if (j.contains("z")) {
+    board = Signboard::unpack(j.at("z").get<std::string>(), id);
+  } else if (j.contains("d") && shelf != nullptr) {
+    const auto base = shelf->find(j.at("o").get<std::uint64_t>());
+    if (base) board = Signboard::apply(*base, j.at("d").get_ref<const std::string&>(), id);
+  }
+  if (!board || board->id() != id) throw std::out_of_range("a text that can't be made here");
+  return board;
+}
+}  // namespace
+
+json toJson(const Value& value, std::uint64_t has, const Shelf* shelf) {
   json recent = json::array();
   for (const auto& taken : value.recent) {
     recent.push_back(json::array({taken.revision.value, taken.digest}));
@@ -44,7 +82,7 @@
   json out = {{"s", value.sequence}, {"e", value.epoch}, {"v", names(value.voters)}};
   if (!value.stamp.empty()) out["t"] = value.stamp;
   if (value.config) {
-    out["c"] = *value.config;
+    writeText(*value.config, has, shelf, out);
     out["n"] = value.configRevision.value;
   }
   if (!recent.empty()) out["r"] = std::move(recent);
@@ -52,14 +90,14 @@
   return out;
 }
 
-Value valueFrom(const json& j) {
+Value valueFrom(const json& j, const Shelf* shelf) {
   Value value;
   value.sequence = j.at("s").get<std::uint64_t>();
   value.epoch = j.at("e").get<std::uint64_t>();
   value.voters = namesFrom(j.at("v"));
   value.stamp = j.value("t", "");
-  if (j.contains("c")) {
-    value.config = std::make_shared<const std::string>(j.at("c").get<std::string>());
+  if (j.contains("n")) {
+    value.config = readText(j, shelf);
     value.configRevision = Revision{j.at("n").get<std::int64_t>()};
   }
   if (j.contains("b")) value.before = namesFrom(j.at("b"));
@@ -72,10 +110,10 @@
   return value;
 }
 
-json toJson(const Ask& ask) {
+json toJson(const Ask& ask, const Shelf* shelf) {
   json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
   if (ask.kind == Ask::Kind::accept) {
-    out["v"] = toJson(ask.value);
+    out["v"] = toJson(ask.value, ask.text, shelf);
     json lives = json::object();
     for (const auto& [node, life] : ask.lives) lives[node.str()] = life.value;
     out["l"] = std::move(lives);
@@ -83,11 +121,12 @@
     out["n"] = ask.life.value;
   } else if (!ask.have.empty()) {
     out["h"] = ask.have;
+    if (ask.text != 0) out["x"] = ask.text;
   }
   return out;
 }
 
-Ask askFrom(const json& j) {
+Ask askFrom(const json& j, const Shelf* shelf) {
   Ask ask;
   const int kind = j.at("k").get<int>();
   if (kind < 0 || kind > static_cast<int>(Ask::Kind::rejoin)) throw std::out_of_range("ask kind");
@@ -95,7 +134,7 @@
   ask.from = NodeId(j.at("f").get<std::string>());
   ask.ballot = ballotFrom(j.at("b"));
   if (ask.kind == Ask::Kind::accept) {
-    ask.value = valueFrom(j.at("v"));
+    ask.value = valueFrom(j.at("v"), shelf);
     for (const auto& [node, life] : j.at("l").items()) {
       ask.lives[NodeId(node)] = Life{life.get<std::uint64_t>()};
     }
@@ -103,34 +142,37 @@
     ask.life = Life{j.at("n").get<std::uint64_t>()};
   } else {
     ask.have = j.value("h", "");
+    ask.text = j.value("x", std::uint64_t{0});
   }
   return ask;
 }
 
-json toJson(const Reply& reply) {
+json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf) {
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
+  if (reply.text != 0) out["x"] = reply.text;
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
       out["i"] = true;
     } else {
-      out["v"] = toJson(reply.value);
+      out["v"] = toJson(reply.value, has, shelf);
     }
   }
   return out;
 }
 
-Reply replyFrom(const json& j) {
+Reply replyFrom(const json& j, const Shelf* shelf) {
   Reply reply;
   reply.ok = j.at("o").get<bool>();
   reply.asleep = j.value("z", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
+  reply.text = j.value("x", std::uint64_t{0});
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
     reply.same = j.value("i", false);
-    if (!reply.same) reply.value = valueFrom(j.at("v"));
+    if (!reply.same) reply.value = valueFrom(j.at("v"), shelf);
   }
   return reply;
 }
@@ -140,38 +182,47 @@
 Ledge::Ledge(NodeId self, Life life, bool awake)
     : self_(std::move(self)), life_(life), awake_(awake) {}
 
-json Ledge::save() const {
+std::string Ledge::save() const {
   json lives = json::object();
   for (const auto& [node, list] : lives_) {
     json values = json::array();
     for (const auto& life : list) values.push_back(life.value);
     lives[node.str()] = std::move(values);
   }
-  return {{"life", life_.value},           {"awake", awake_},
-          {"promised", toJson(promised_)}, {"accepted", toJson(accepted_)},
-          {"value", toJson(value_)},       {"lives", std::move(lives)}};
+  const std::uint64_t apart = value_.config ? value_.config->id() : 0;
+  const json head = {{"life", life_.value},           {"awake", awake_},
+                     {"promised", toJson(promised_)}, {"accepted", toJson(accepted_)},
+                     {"value", toJson(value_, apart)}, {"lives", std::move(lives)}};
+  std::string out = head.dump() + "\n";
+  if (value_.config) out += value_.config->text();
+  return out;
 }
 
-std::optional<Ledge> Ledge::restore(NodeId self, const json& saved) {
+std::optional<Ledge> Ledge::restore(NodeId self, const std::string& record) {
   try {
+    const auto end = record.find('\n');
+    const auto saved = json::parse(record.substr(0, end));
+    Shelf shelf;
+    if (end != std::string::npos) shelf.put(Signboard::of(record.substr(end + 1)));
     Ledge ledge(std::move(self), Life{saved.at("life").get<std::uint64_t>()},
                 saved.at("awake").get<bool>());
     ledge.promised_ = ballotFrom(saved.at("promised"));
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
-    ledge.value_ = valueFrom(saved.at("value"));
+    ledge.value_ = valueFrom(saved.at("value"), &shelf);
     for (const auto& [node, list] : saved.at("lives").items()) {
       for (const auto& life : list) {
         ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
       }
     }
     return ledge;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
 
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok, !awake_, life_, promised_, accepted_, value_, same};
+  return {ok,     !awake_, life_, promised_, accepted_, value_, same,
+          value_.config ? value_.config->id() : 0};
 }
 
 // False where the life named is over.
@@ -259,13 +310,14 @@
 
 // ---- Climber
 
-Climber::Climber(NodeId self, Value basis, Change change, std::uint64_t seed)
+Climber::Climber(NodeId self, Value basis, Change change, std::uint64_t seed, Span round)
     : self_(std::move(self)),
       // No two climbs ever share a ballot, not even two at one node or across its restarts.
       author_(self_.str() + "#" + std::to_string(seed)),
       basis_(std::move(basis)),
       change_(std::move(change)),
-      random_(seed) {}
+      random_(seed),
+      roundTime_(round) {}
 
 bool Climber::quorum(const Value& value, const std::set<NodeId>& have) {
   return majority(value.voters, have) && (value.before.empty() || majority(value.before, have));
@@ -278,7 +330,7 @@
 
 std::vector<Climber::Send> Climber::newRound(Instant now) {
   ++round_;
-  roundEnds_ = now + kRoundTime;
+  roundEnds_ = now + roundTime_;
   ballot_ = Ballot{highest_ + 1, author_};
   highest_ = ballot_.number;
   accepting_ = false;
@@ -301,6 +353,7 @@
       ask.from = self_;
       ask.ballot = ballot_;
       ask.have = basis_.stamp;
+      ask.text = basis_.config ? basis_.config->id() : 0;
       out.push_back({voter, ask, round_});
     }
   }
@@ -364,7 +417,9 @@
   }
   accepting_ = true;
   ++round_;  // a promise that comes late must not count as an acceptance
-  roundEnds_ = now + kRoundTime + extraTime(next_);
+  // Whoever has the text is not sent it again.
+  const bool newText = next_.config && (!old_.config || old_.config->id() != next_.config->id());
+  roundEnds_ = now + roundTime_ + (newText ? extraTime(next_) : Span(0));
   Ask ask;
   ask.kind = Ask::Kind::accept;
   ask.from = self_;
@@ -377,7 +432,11 @@
     all.insert(value->before.begin(), value->before.end());
   }
   std::vector<Send> out;
-  for (const auto& node : all) out.push_back({node, ask, round_});
+  for (const auto& node : all) {
+    const auto promise = promises_.find(node);
+    ask.text = promise == promises_.end() ? 0 : promise->second.text;
+    out.push_back({node, ask, round_});
+  }
   return out;
 }
 
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -16,6 +16,7 @@
 
 #include "errors.hpp"
 #include "units.hpp"
+#include "version/signboard.hpp"
 
 namespace merlin::cairn {
 
@@ -30,7 +31,7 @@
   std::uint64_t sequence = 0;                 // one more with every change
   std::uint64_t epoch = 0;                    // one more with every change of voters
   std::string stamp;                          // names this value; two values never share one
-  std::shared_ptr<const std::string> config;  // JSON as the operator wrote it, null at first
+  Signboard::Ptr config;  // JSON as the operator wrote it, null at first
   Revision configRevision;
   struct Taken {
     Revision revision;
@@ -47,13 +48,15 @@
 // A large value takes longer to send, read and write: what each round of it may take more.
 Span extraTime(std::size_t bytes);
 inline Span extraTime(const Value& value) {
-  return extraTime(value.config ? value.config->size() : 0);
+  return extraTime(value.config ? value.config->text().size() : 0);
 }
 
 nlohmann::json toJson(const Ballot& ballot);
 Ballot ballotFrom(const nlohmann::json& j);
-nlohmann::json toJson(const Value& value);
-Value valueFrom(const nlohmann::json& j);
+// `has` is the text that the reader is known to have (0: none): then only what differs is written.
+nlohmann::json toJson(const Value& value, std::uint64_t has = 0, const Shelf* shelf = nullptr);
+// Throws where the text can't be made of what is on the shelf.
+Value valueFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 // Messages. One shape for all of them keeps the wire small and the runner simple.
 struct Ask {
@@ -65,6 +68,7 @@
   std::map<NodeId, Life> lives;  // accept: the lives that promised
   Life life;                     // rejoin: the asker's new life
   std::string have;              // prepare: stamp of the value the asker holds already
+  std::uint64_t text = 0;        // prepare: its text; accept (not sent): the reader's
 };
 
 struct Reply {
@@ -74,21 +78,24 @@
   Ballot promised;
   Ballot accepted;
   Value value;
-  bool same = false;  // the value is the one the asker holds: it is not sent again
+  bool same = false;       // the value is the one the asker holds: it is not sent again
+  std::uint64_t text = 0;  // which text this voter has
 };
 
-nlohmann::json toJson(const Ask& ask);
-Ask askFrom(const nlohmann::json& j);
-nlohmann::json toJson(const Reply& reply);
-Reply replyFrom(const nlohmann::json& j);
+nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
+Ask askFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
+// `has`: the text that the asker said it has.
+nlohmann::json toJson(const Reply& reply, std::uint64_t has = 0, const Shelf* shelf = nullptr);
+Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 class Ledge {
  public:
   // A voter of the very first start may vote at once; one with an empty disk later must read
   // the others first.
   Ledge(NodeId self, Life life, bool awake);
-  static std::optional<Ledge> restore(NodeId self, const nlohmann::json& saved);
-  [[nodiscard]] nlohmann::json save() const;
+  // A head as JSON and behind it the configuration's text as it is.
+  static std::optional<Ledge> restore(NodeId self, const std::string& saved);
+  [[nodiscard]] std::string save() const;
 
   struct Out {
     Reply reply;
@@ -123,6 +130,7 @@
 
 class Climber {
  public:
+  static constexpr Span kRound = std::chrono::milliseconds(200);
   // What a change makes of the current value.
   struct Verdict {
     enum class Kind : std::uint8_t { put, keep, refuse };
@@ -144,7 +152,8 @@
     bool known = false;
   };
 
-  Climber(NodeId self, Value basis, Change change, std::uint64_t seed);
+  // `round`: how long the voters may take to answer where nothing large is sent.
+  Climber(NodeId self, Value basis, Change change, std::uint64_t seed, Span round = kRound);
 
   std::vector<Send> start(Instant now, Span limit);
   std::vector<Send> reply(const NodeId& from, std::uint64_t round, const Reply& reply, Instant now);
@@ -167,6 +176,7 @@
   Value basis_;
   Change change_;
   std::uint64_t random_;
+  Span roundTime_;
   Instant ends_;
   Instant roundEnds_;
   std::uint64_t round_ = 0;
--- a/src/version/schema.cpp
+++ b/src/version/schema.cpp
@@ -33,9 +33,12 @@
      "items":{"type":"integer","minimum":1,"maximum":65535}},
    "seed_nodes":{"type":"array","items":{"type":"string"}}}},
  "platform_config":{"type":"object",
-  "properties":{"heartbeat_interval_s":{"type":"number","minimum":0.05}}},
+  "properties":{"heartbeat_interval_s":{"type":"number","minimum":0.05},
+   "deployment":{"type":"string"}}},
  "policy_terms":{"type":"object","required":["timing_bounds"],
-  "properties":{"timing_bounds":{"type":"object",
+  "properties":{"fault_tolerance":{"type":"object","properties":{
+    "machines":{"type":"integer","minimum":0}}},
+   "timing_bounds":{"type":"object",
    "properties":{
     "drain_timeout_s":{"type":"number","minimum":0},"grace_period_s":{"type":"number","minimum":0},
     "config_apply_s":{"type":"number","minimum":0},"contact_s":{"type":"number","minimum":0},
--- /dev/null
+++ b/src/version/signboard.cpp
@@ -0,0 +1,153 @@
+#include "version/signboard.hpp"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "units.hpp"
+
+namespace merlin::cairn {
+
+namespace {
+constexpr std::size_t kKept = 6;
+constexpr int kLevel = 1;  // the least processor time
+constexpr std::size_t kMostText = 64U << 20;
+
+// Pieces that end where an item of a JSON list ends.
+std::vector<std::string_view> pieces(std::string_view text) {
+  std::vector<std::string_view> out;
+  std::size_t from = 0;
+  while (from < text.size()) {
+    const auto at = text.find("},", from);
+    const auto end = at == std::string_view::npos ? text.size() : at + 2;
+    out.push_back(text.substr(from, end - from));
+    from = end;
+  }
+  return out;
+}
+
+bool number(std::string_view& in, char end, std::size_t& out) {
+  const auto read = std::from_chars(in.data(), in.data() + in.size(), out);
+  if (read.ec != std::errc() || read.ptr == in.data() + in.size() || *read.ptr != end) return false;
+  in.remove_prefix(static_cast<std::size_t>(read.ptr - in.data()) + 1);
+  return true;
+}
+}  // namespace
+
+Signboard::Signboard(std::string text) : text_(std::move(text)), id_(mixHash(text_, 1) | 1U) {}
+
+Signboard::Ptr Signboard::of(std::string text) { return Ptr(new Signboard(std::move(text))); }
+
+const std::string& Signboard::packed() const {
+  if (packed_.empty()) {
+    std::ostringstream out;
+    Poco::Base64Encoder letters(out);
+    letters.rdbuf()->setLineLength(0);
+    Poco::DeflatingOutputStream deflater(letters, Poco::DeflatingStreamBuf::STREAM_ZLIB, kLevel);
+    deflater << text_;
+    deflater.close();
+    letters.close();
+    packed_ = out.str();
+  }
+  return packed_;
+}
+
+Signboard::Ptr Signboard::unpack(const std::string& packed, std::uint64_t id) {
+  try {
+    std::istringstream in(packed);
+    Poco::Base64Decoder letters(in);
+    Poco::InflatingInputStream inflater(letters, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    std::string text;
+    Poco::StreamCopier::copyToString(inflater, text);
+    auto board = of(std::move(text));
+    if (board->id() != id) return nullptr;
+    board->packed_ = packed;
+    return board;
+  } catch (const Poco::Exception&) {
+    return nullptr;
+  }
+}
+
+// `=offset,length;` takes bytes of the base, `+length:` brings its own.
+const std::string& Signboard::deltaFrom(const Signboard& base) const {
+  if (deltaOf_ == base.id()) return delta_;
+  std::unordered_map<std::string_view, std::size_t> where;
+  for (const auto& piece : pieces(base.text_)) {
+    where.emplace(piece, static_cast<std::size_t>(piece.data() - base.text_.data()));
+  }
+  std::string out;
+  std::string own;
+  std::size_t from = 0;
+  std::size_t length = 0;
+  const auto flush = [&] {
+    if (length > 0) out += "=" + std::to_string(from) + "," + std::to_string(length) + ";";
+    if (!own.empty()) out += "+" + std::to_string(own.size()) + ":" + own;
+    length = 0;
+    own.clear();
+  };
+  for (const auto& piece : pieces(text_)) {
+    const auto it = where.find(piece);
+    if (it == where.end()) {
+      if (length > 0) flush();
+      own += piece;
+    } else if (length > 0 && from + length == it->second) {
+      length += piece.size();
+    } else {
+      flush();
+      from = it->second;
+      length = piece.size();
+    }
+  }
+  flush();
+  delta_ = std::move(out);
+  deltaOf_ = base.id();
+  return delta_;
+}
+
+Signboard::Ptr Signboard::apply(const Signboard& base, std::string_view delta, std::uint64_t id) {
+  std::string text;
+  while (!delta.empty()) {
+    const char what = delta.front();
+    delta.remove_prefix(1);
+    std::size_t from = 0;
+    std::size_t length = 0;
+    if (what == '=') {
+      if (!number(delta, ',', from) || !number(delta, ';', length)) return nullptr;
+      if (from > base.text_.size() || length > base.text_.size() - from) return nullptr;
+      text.append(base.text_, from, length);
+    } else if (what == '+') {
+      if (!number(delta, ':', length) || length > delta.size()) return nullptr;
+      text.append(delta.substr(0, length));
+      delta.remove_prefix(length);
+    } else {
+      return nullptr;
+    }
+    if (text.size() > kMostText) return nullptr;
+  }
+  auto board = of(std::move(text));
+  return board->id() == id ? board : nullptr;
+}
+
+void Shelf::put(const Signboard::Ptr& board) {
+  if (!board || find(board->id())) return;
+  boards_.push_back(board);
+  if (boards_.size() > kKept) boards_.pop_front();
+}
+
+Signboard::Ptr Shelf::find(std::uint64_t id) const {
+  const auto it = std::find_if(boards_.begin(), boards_.end(),
+                               [id](const auto& board) { return board->id() == id; });
+  return it == boards_.end() ? nullptr : *it;
+}
+
+}  // namespace merlin::cairn
--- /dev/null
+++ b/src/version/signboard.hpp
@@ -0,0 +1,46 @@
+// signboard: the text of one configuration, never changed once made, with the two short forms in
+// which it travels: packed, or as what differs from another text that the receiver has.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace merlin::cairn {
+
+class Signboard {
+ public:
+  using Ptr = std::shared_ptr<const Signboard>;
+  static Ptr of(std::string text);
+  // Both are null where the bytes don't give the text with that id.
+  static Ptr unpack(const std::string& packed, std::uint64_t id);
+  static Ptr apply(const Signboard& base, std::string_view delta, std::uint64_t id);
+
+  [[nodiscard]] const std::string& text() const { return text_; }
+  [[nodiscard]] std::uint64_t id() const { return id_; }
+  // Made once, when first asked for.
+  [[nodiscard]] const std::string& packed() const;
+  [[nodiscard]] const std::string& deltaFrom(const Signboard& base) const;
+
+ private:
+  explicit Signboard(std::string text);
+  std::string text_;
+  std::uint64_t id_;
+  mutable std::string packed_;
+  mutable std::string delta_;
+  mutable std::uint64_t deltaOf_ = 0;
+};
+
+// The last few texts that this node has held, to read and write what differs from them.
+class Shelf {
+ public:
+  void put(const Signboard::Ptr& board);
+  [[nodiscard]] Signboard::Ptr find(std::uint64_t id) const;
+
+ private:
+  std::deque<Signboard::Ptr> boards_;
+};
+
+}  // namespace merlin::cairn
--- a/tests/mesh.cpp
+++ b/tests/mesh.cpp
@@ -123,6 +123,7 @@
                        net::HTTPServerResponse& response) override {
       std::string body;
       Poco::StreamCopier::copyToString(request.stream(), body);
+      if (request.has("Attempt-Id")) response.set("Attempt-Id", request.get("Attempt-Id"));
       if (request.get("Expected-Instance", "") != app.id_) {
         response.setStatusAndReason(static_cast<net::HTTPResponse::HTTPStatus>(421));
         response.send();
@@ -355,7 +356,7 @@
   eventually("the wiped node votes again", [&] {
     const auto status =
         json::parse(call(at(cores[0], kControl), "GET", "/v1/Status").body, nullptr, false);
-    return status.is_object() && status["votes"] == true && status["in_force"] == 5;
+    return status.is_object() && status["votes"] == true && status["revision"] == 5;
   });
   mesh.stop(cores[1], SIGKILL);
   eventually("and reads back what was acknowledged without it", [&] {
--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -23,6 +23,7 @@
   bool core = false;
   int life = 0;  // odd: up
   Value known;
+  std::string text;
   std::vector<NodeId> seeds;
   std::unique_ptr<Guestbook> book;
   std::unique_ptr<Roster> roster;
@@ -58,7 +59,7 @@
       require(post->known.sequence == newest_,
               post->id.str() + " has not heard of the newest value");
       require(post->book->digest() == posts_[0]->book->digest(),
-              post->id.str() + " sees other pages than " + posts_[0]->id.str());
+              post->id.str() + " has another book than " + posts_[0]->id.str());
     }
     out["slowest_ms"] = slowest_;
     out["words"] = static_cast<double>(words_);
@@ -79,8 +80,9 @@
     post.known = Value{};
     post.lowest = 0;
     // A life number that may be lower than the last one: the machine's steady clock began anew.
-    post.book = std::make_unique<Guestbook>(cairn::NodeFacts{post.id, post.zone, post.core, false},
-                                            Life{clock_.random() % 1000 + 1});
+    post.book = std::make_unique<Guestbook>(
+        cairn::NodeFacts{post.id, post.zone, post.core, false, false, 0, Life{}},
+        Life{clock_.random() % 1000 + 1});
     Roster::World world;
     world.now = [this] { return clock_.now(); };
     world.after = [this, &post, life = post.life](Span wait, std::function<void()> work) {
@@ -98,7 +100,13 @@
     post.roster = std::make_unique<Roster>(Roster::Parts{
         world, post.id, post.zone, [&post]() -> const std::vector<NodeId>& { return post.seeds; },
         *post.book, [&post]() -> const Value& { return post.known; },
-        [this, &post](const Value& value) { learn(post, value); }, [] {}, post.core});
+        [&post](std::uint64_t) -> const std::string& {
+          post.text = toJson(post.known).dump();
+          return post.text;
+        },
+        [](const json& j) { return cairn::valueFrom(j); },
+        [this, &post](const Value& value) { learn(post, value); }, [] {}, post.core,
+        fromMillis(number(s_, "pace", 10))});
   }
 
   void learn(Post& post, const Value& value) {
@@ -142,8 +150,7 @@
         clock_.after(delay, [finish] { finish(std::nullopt); });
         return;
       }
-      target.roster->serve(json::parse(body), [this, &from, &target, finish](const json& a) {
-        const auto text = a.dump();
+      target.roster->serve(json::parse(body), [this, &from, &target, finish](const std::string& text) {
         count(target, from, text.size() + 200);
         clock_.after(clock_.uniform(0.2, 3), [this, &from, &target, text, finish] {
           if (linked(from.id, target.id)) finish(json::parse(text));
@@ -175,7 +182,7 @@
         Value value;
         value.sequence = newest_;
         for (int c = 0; c < 3; ++c) value.voters.emplace_back("c" + std::to_string(c));
-        if (w.size() > 5) value.config = std::make_shared<const std::string>(std::stoul(w[5]), 'x');
+        if (w.size() > 5) value.config = cairn::Signboard::of(std::string(std::stoul(w[5]), 'x'));
         learn(at(w.at(3)), value);
       } else if (what == "server") {  // server NODE ID available|draining|gone
         Server server;
@@ -214,8 +221,8 @@
           for (const auto& pair : pairs) cuts_.erase(pair);
           trouble(at(w[4]));
         });
-      } else if (what == "forget") {  // a page is lost from one node's book, as by a fault
-        at(w.at(3)).book->drop(NodeId(w.at(4)));
+      } else if (what == "forget") {  // a word is lost from one node's book, as by a fault
+        at(w.at(3)).book->drop(InstanceId(w.at(4)));
       } else {
         throw Broken{"no such thing to do: " + what};
       }
--- a/tests/world_path.cpp
+++ b/tests/world_path.cpp
@@ -163,7 +163,8 @@
     terms.deadline = request->deadline;
     auto& node = *nodes_[static_cast<std::size_t>(request->node)];
     request->ascent = std::make_unique<Ascent>(
-        terms, [this, &node] { return candidates(node); }, *node.wayfinder, *node.toll);
+        terms, [this, &node]() -> const std::vector<Candidate>& { return candidates(node); },
+        *node.wayfinder, *node.toll);
     clock_.at(request->deadline, [this, request] {
       if (request->over) return;
       const bool sent = request->turn > 0;
@@ -173,13 +174,15 @@
     carryOut(request, request->ascent->begin(clock_.now()));
   }
 
-  std::vector<Candidate> candidates(Node& node) {
-    std::vector<Candidate> out;
+  const std::vector<Candidate>& candidates(Node& node) {
+    auto& out = candidates_;
+    out.clear();
     for (const auto& host : hosts_) {
       // News of a drain takes a while to get round.
       if (host->drainedAt >= 0 && clock_.ms() - host->drainedAt > number(s_, "news", 50)) continue;
-      if (!node.loads.reachable(host->id, clock_.now())) continue;
-      out.push_back({host->id, "", node.loads.jobs(host->id, clock_.now()), host->gate->slots()});
+      const auto& book = node.loads.book(host->id);
+      if (!Loads::reachable(book, clock_.now())) continue;
+      out.push_back({&host->id, nullptr, Loads::jobs(book, clock_.now()), host->gate->slots()});
     }
     return out;
   }
@@ -192,9 +195,9 @@
       return;
     }
     const int turn = ++request->turn;
-    auto& host = hostOf(step.to.id);
+    auto& host = hostOf(*step.to.id);
     auto& node = *nodes_[static_cast<std::size_t>(request->node)];
-    node.loads.began(host.id);
+    node.loads.began(host.id, clock_.now());
     if (lost("unsent")) {
       back(request, turn, host, Outcome::unreachable, 300);
       return;
@@ -358,6 +361,7 @@
   trail::TollTerms terms_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<Candidate> candidates_;
   std::vector<std::shared_ptr<Request>> requests_;
   std::vector<double> firsts_;
   std::vector<std::pair<double, int>> arrivals_;
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -28,6 +28,7 @@
   bool full = false;
   double frozenUntil = 0;
   Value known;
+  cairn::Shelf shelf;
   double ahead = -1;
 };
 
@@ -56,7 +57,7 @@
     for (auto& m : machines_) {
       m->known.voters = first_;
       m->ledge.emplace(m->id, Life{clock_.random() >> 1}, true);
-      m->disk = m->ledge->save().dump();
+      m->disk = m->ledge->save();
     }
   }
 
@@ -167,8 +168,10 @@
     ++m.life;
     m.known = Value{};
     m.known.voters = first_;
-    if (!m.disk.empty()) m.ledge = Ledge::restore(m.id, nlohmann::json::parse(m.disk));
+    if (!m.disk.empty()) m.ledge = Ledge::restore(m.id, m.disk);
     if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, false);
+    m.shelf = cairn::Shelf();
+    m.shelf.put(m.ledge->value().config);
     m.wiped = false;
   }
 
@@ -215,7 +218,7 @@
       }
       verdict.kind = Climber::Verdict::Kind::put;
       next.configRevision = Revision{revision};
-      next.config = std::make_shared<const std::string>(digest);
+      next.config = cairn::Signboard::of(digest);
       next.recent.push_back({Revision{revision}, digest});
       return verdict;
     });
@@ -254,7 +257,7 @@
           deliver(send.to, m.id, [this, &m, call, climber, send, life, r] {
             if (m.life != life || climber->result()) return;
             // Messages cross the wire as text: what JSON drops must not be missed.
-            const auto reply = cairn::replyFrom(nlohmann::json::parse(toJson(r).dump()));
+            const auto reply = cairn::replyFrom(nlohmann::json::parse(toJson(r).dump()), &m.shelf);
             carry(m, call, climber, climber->reply(send.to, send.round, reply, clock_.now()));
           });
         });
@@ -304,10 +307,16 @@
   // The voter's side with its disk: the reply waits for the sync of what it rests on.
   void answer(Machine& m, const Ask& sent, std::function<void(Reply)> back) {
     if (!m.ledge) return;
-    const auto ask = cairn::askFrom(nlohmann::json::parse(toJson(sent).dump()));
+    Ask ask;
+    try {
+      ask = cairn::askFrom(nlohmann::json::parse(toJson(sent).dump()), &m.shelf);
+    } catch (const std::exception&) {
+      return;  // it was wiped since it said which text it has: no answer
+    }
     const auto out = m.ledge->ask(ask);
+    m.shelf.put(m.ledge->value().config);
     const int life = m.life;
-    const auto state = m.ledge->save().dump();
+    const auto state = m.ledge->save();
     const double hung = std::max(0.0, m.hungUntil - clock_.ms());
     clock_.after(hung + clock_.uniform(0.5, 2), [&m, life, state, out, back] {
       if (m.life != life || m.full) return;
@@ -328,7 +337,8 @@
           deliver(m.id, voter, [this, &m, voter, ask, life] {
             answer(machine(voter.str()), *ask, [this, &m, voter, life](Reply r) {
               deliver(voter, m.id, [&m, voter, life, r] {
-                if (m.life == life && m.ledge) m.ledge->rejoinReply(voter, r, m.known);
+                if (m.life != life || !m.ledge) return;
+                if (m.ledge->rejoinReply(voter, r, m.known)) m.shelf.put(m.ledge->value().config);
               });
             });
           });
