A commit counts once it is sealed; torn meta pages are mended before LMDB opens

Cause: LMDB picks its newer meta page by number alone and may write it without a sync that counts; a torn one makes it abort or read old pages. Now every commit is synced and sealed in a file beside it, and a meta page that no seal knows is replaced by the one before. Damage is told from empty. The text is written only when it changes.

--- a/src/process/cellar.cpp
+++ b/src/process/cellar.cpp
@@ -1,18 +1,104 @@
 #include "process/cellar.hpp"
 
+#include <fcntl.h>
 #include <lmdb.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
 namespace merlin::hut {
 
 namespace {
-constexpr const char* kKey = "ledge";
+constexpr const char* kHead = "ledge";
+constexpr const char* kText = "text";
+constexpr const char* kData = "data.mdb";
+constexpr const char* kSeals = "seals";
 constexpr std::size_t kSumBytes = sizeof(std::uint64_t);
 constexpr mdb_mode_t kMode = 0600;
+constexpr std::size_t kMetaPages = 2;
+
+// A file that closes itself.
+class File {
+ public:
+  File(const std::string& path, int flags) : fd_(::open(path.c_str(), flags, kMode)) {}
+  ~File() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  File(const File&) = delete;
+  File& operator=(const File&) = delete;
+  [[nodiscard]] bool good() const { return fd_ >= 0; }
+  bool read(void* to, std::size_t size, std::size_t at) const {
+    return ::pread(fd_, to, size, static_cast<off_t>(at)) == static_cast<ssize_t>(size);
+  }
+  bool write(const void* from, std::size_t size, std::size_t at) const {
+    return ::pwrite(fd_, from, size, static_cast<off_t>(at)) == static_cast<ssize_t>(size);
+  }
+  [[nodiscard]] bool sync() const { return ::fsync(fd_) == 0; }
+
+ private:
+  int fd_;
+};
+
+// One seal: it says which two meta pages belong to a commit that is whole on the disk.
+struct Seal {
+  std::uint64_t number = 0;
+  std::uint64_t pageBytes = 0;
+  std::array<std::uint64_t, kMetaPages> metas{};
+  std::uint64_t newest = 0;  // which of them this commit wrote
+  std::uint64_t sum = 0;
+  [[nodiscard]] std::uint64_t ownSum() const {
+    std::string text;
+    for (const auto n : {number, pageBytes, metas[0], metas[1], newest}) {
+      text += std::to_string(n) + "/";
+    }
+    return mixHash(text, 3);
+  }
+};
+// Far enough apart that no torn write of one touches the other.
+constexpr std::size_t kSealApart = 4096;
+
+std::optional<std::array<std::string, kMetaPages>> readMetas(const std::string& path,
+                                                             std::size_t pageBytes) {
+  const File file(path, O_RDONLY);
+  if (!file.good()) return std::nullopt;
+  std::array<std::string, kMetaPages> out;
+  for (std::size_t i = 0; i < kMetaPages; ++i) {
+    out.at(i).resize(pageBytes);
+    if (!file.read(out.at(i).data(), pageBytes, i * pageBytes)) return std::nullopt;
+  }
+  return out;
+}
+
+std::vector<Seal> readSeals(const std::string& path) {
+  std::vector<Seal> out;
+  const File file(path, O_RDONLY);
+  if (!file.good()) return out;
+  for (std::size_t i = 0; i < 2; ++i) {
+    Seal seal;
+    if (file.read(&seal, sizeof seal, i * kSealApart) && seal.number > 0 &&
+        seal.sum == seal.ownSum()) {
+      out.push_back(seal);
+    }
+  }
+  std::sort(out.begin(), out.end(),
+            [](const Seal& a, const Seal& b) { return a.number > b.number; });
+  return out;
+}
+
+bool exists(const std::string& path) {
+  struct stat info {};
+  return ::stat(path.c_str(), &info) == 0 && info.st_size > 0;
+}
+
+void syncFolder(const std::string& path) {
+  const File folder(path, O_RDONLY | O_DIRECTORY);
+  if (folder.good()) [[maybe_unused]] const bool done = folder.sync();
+}
 
 std::string sealed(const std::string& record) {
   const std::uint64_t sum = mixHash(record);
@@ -30,6 +116,15 @@
   if (mixHash(record) != sum) return std::nullopt;
   return record;
 }
+
+MDB_val keyOf(const char* name) { return {std::strlen(name), const_cast<char*>(name)}; }
+
+int put(MDB_txn* txn, unsigned dbi, const char* name, const std::string& text) {
+  std::string bytes = sealed(text);
+  MDB_val key = keyOf(name);
+  MDB_val value{bytes.size(), bytes.data()};
+  return mdb_put(txn, dbi, &key, &value, 0);
+}
 }  // namespace
 
 Cellar::Cellar(Bell& bell, std::string folder, std::size_t bytes)
@@ -47,30 +142,69 @@
   closeEnv();
 }
 
+bool Cellar::failed(const std::string& what) {
+  problem_ = what;
+  closeEnv();
+  return false;
+}
+
+// Puts the meta pages back to what the newest seal that fits them says.
+Cellar::Found Cellar::mendMeta() {
+  const auto seals = readSeals(file(kSeals));
+  if (!seals.empty()) seals_ = std::max(seals_, seals.front().number);
+  if (!exists(file(kData))) return seals.empty() ? Found::nothing : Found::damage;
+  // Nothing was ever said that rests on a commit without a seal.
+  if (seals.empty()) return Found::nothing;
+  for (const auto& seal : seals) {
+    const auto metas = readMetas(file(kData), seal.pageBytes);
+    if (!metas || seal.newest >= kMetaPages) continue;
+    const auto good = static_cast<std::size_t>(seal.newest);
+    if (mixHash(metas->at(good)) != seal.metas.at(good)) continue;
+    const std::size_t other = 1 - good;
+    if (mixHash(metas->at(other)) == seal.metas.at(other)) return Found::record;
+    const File data(file(kData), O_RDWR);
+    if (!data.good() ||
+        !data.write(metas->at(good).data(), seal.pageBytes, other * seal.pageBytes) ||
+        !data.sync()) {
+      problem_ = "a meta page can't be mended";
+      return Found::damage;
+    }
+    return Found::record;
+  }
+  return Found::damage;
+}
+
+void Cellar::putAside() {
+  closeEnv();
+  for (const char* name : {kData, kSeals}) ::unlink(file(name).c_str());
+  syncFolder(folder_);
+  textHeld_ = 0;
+}
+
 bool Cellar::open() {
   if (env_ != nullptr) return true;
-  ::mkdir(folder_.c_str(), 0700);
-  const auto failed = [&](int rc) {
-    problem_ = mdb_strerror(rc);
-    closeEnv();
-    return false;
-  };
+  const bool fresh = ::mkdir(folder_.c_str(), 0700) == 0;
+  if (fresh) syncFolder(folder_.substr(0, folder_.rfind('/')));
+  const auto found = mendMeta();
+  if (found == Found::damage) return failed(problem_.empty() ? "the files are damaged" : problem_);
+  if (found == Found::nothing && exists(file(kData))) putAside();
+  textHeld_ = 0;
   int rc = mdb_env_create(&env_);
-  if (rc != 0) return failed(rc);
+  if (rc != 0) return failed(mdb_strerror(rc));
   mdb_env_set_mapsize(env_, bytes_);
   // One process, one writing thread: LMDB's own lock file is not needed.
   rc = mdb_env_open(env_, folder_.c_str(), MDB_NOLOCK | MDB_NOTLS | MDB_NORDAHEAD, kMode);
-  if (rc != 0) return failed(rc);
+  if (rc != 0) return failed(mdb_strerror(rc));
   MDB_txn* txn = nullptr;
-  rc = mdb_txn_begin(env_, nullptr, 0, &txn);
-  if (rc != 0) return failed(rc);
+  rc = mdb_txn_begin(env_, nullptr, MDB_RDONLY, &txn);
+  if (rc != 0) return failed(mdb_strerror(rc));
   rc = mdb_dbi_open(txn, nullptr, 0, &dbi_);
   if (rc == 0) {
     rc = mdb_txn_commit(txn);
   } else {
     mdb_txn_abort(txn);
   }
-  return rc == 0 || failed(rc);
+  return rc == 0 || failed(mdb_strerror(rc));
 }
 
 void Cellar::closeEnv() {
@@ -78,48 +212,90 @@
   env_ = nullptr;
 }
 
-std::optional<std::string> Cellar::load() {
+std::optional<Cellar::Loaded> Cellar::load() {
+  found_ = exists(file(kData)) ? mendMeta() : Found::nothing;
+  if (found_ != Found::record) {
+    if (found_ == Found::damage) {
+      problem_ = "the files are damaged";
+      putAside();
+    }
+    return std::nullopt;
+  }
+  found_ = Found::damage;  // unless all of it can be read
   if (!open()) return std::nullopt;
   MDB_txn* txn = nullptr;
   if (mdb_txn_begin(env_, nullptr, MDB_RDONLY, &txn) != 0) return std::nullopt;
-  MDB_val key{std::strlen(kKey), const_cast<char*>(kKey)};
-  MDB_val value{};
-  std::optional<std::string> out;
-  if (mdb_get(txn, dbi_, &key, &value) == 0) {
-    out = unsealed(value);
-    if (!out) problem_ = "the record is damaged";
-  }
+  const auto get = [&](const char* name) -> std::optional<std::string> {
+    MDB_val key = keyOf(name);
+    MDB_val value{};
+    if (mdb_get(txn, dbi_, &key, &value) != 0) return std::nullopt;
+    return unsealed(value);
+  };
+  const auto head = get(kHead);
+  const auto text = get(kText);
   mdb_txn_abort(txn);
-  return out;
+  if (!head || !text) {
+    problem_ = "the record is damaged";
+    putAside();
+    return std::nullopt;
+  }
+  found_ = Found::record;
+  return Loaded{*head, *text};
+}
+
+bool Cellar::seal() {
+  MDB_stat info{};
+  if (mdb_env_stat(env_, &info) != 0) return false;
+  Seal seal;
+  seal.number = seals_ + 1;
+  seal.pageBytes = info.ms_psize;
+  const auto metas = readMetas(file(kData), info.ms_psize);
+  if (!metas) return false;
+  for (std::size_t i = 0; i < kMetaPages; ++i) seal.metas.at(i) = mixHash(metas->at(i));
+  MDB_envinfo env{};
+  if (mdb_env_info(env_, &env) != 0) return false;
+  seal.newest = env.me_last_txnid & 1U;
+  seal.sum = seal.ownSum();
+  const File file_(file(kSeals), O_RDWR | O_CREAT);
+  // By turns: the one before stays as it is until this one is whole.
+  if (!file_.good() || !file_.write(&seal, sizeof seal, (seal.number % 2) * kSealApart) ||
+      !file_.sync()) {
+    return false;
+  }
+  seals_ = seal.number;
+  return true;
 }
 
-bool Cellar::write(const std::string& record) {
+bool Cellar::write(const Record& record) {
   if (!open()) return false;
+  const std::uint64_t id = record.text ? record.text->id() : 1;
   MDB_txn* txn = nullptr;
   int rc = mdb_txn_begin(env_, nullptr, 0, &txn);
   if (rc == 0) {
-    std::string bytes = sealed(record);
-    MDB_val key{std::strlen(kKey), const_cast<char*>(kKey)};
-    MDB_val value{bytes.size(), bytes.data()};
-    rc = mdb_put(txn, dbi_, &key, &value, 0);
+    rc = put(txn, dbi_, kHead, record.head);
+    if (rc == 0 && textHeld_ != id) {
+      rc = put(txn, dbi_, kText, record.text ? record.text->text() : "");
+    }
     if (rc == 0) {
       rc = mdb_txn_commit(txn);
     } else {
       mdb_txn_abort(txn);
     }
   }
-  if (rc == 0) return true;
-  // After a failed write the environment may refuse everything: open it anew next time.
-  problem_ = mdb_strerror(rc);
-  closeEnv();
-  return false;
+  // The meta page is written last: it must be on the disk too.
+  if (rc == 0) rc = mdb_env_sync(env_, 1);
+  if (rc == 0 && !seal()) rc = EIO;
+  // After a failed write nothing of it counts: the files are opened anew, as the seals say.
+  if (rc != 0) return failed(mdb_strerror(rc));
+  textHeld_ = id;
+  return true;
 }
 
 void Cellar::start() {
   thread_ = std::thread([this] { work(); });
 }
 
-void Cellar::save(std::string record, Done done) {
+void Cellar::save(Record record, Done done) {
   {
     const std::lock_guard<std::mutex> hold(lock_);
     if (!jobs_.empty() && jobs_.back().record) {
--- a/src/process/cellar.hpp
+++ b/src/process/cellar.hpp
@@ -1,11 +1,16 @@
 // cellar: the disk of a core node. LMDB belongs to one thread of its own; the loop hands work over
 // and hears back, so a disk that hangs holds up promises, never the loop.
+//
+// LMDB chooses between two meta pages by their number alone, and writes the newer one last: a torn
+// one could be taken for good. So every commit is sealed in a file beside it before it counts, and
+// before LMDB opens, a meta page that no seal knows is replaced by the one that it was to follow.
 #pragma once
 
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -13,6 +18,7 @@
 #include <vector>
 
 #include "process/bell.hpp"
+#include "version/signboard.hpp"
 
 struct MDB_env;
 
@@ -21,37 +27,56 @@
 class Cellar {
  public:
   using Done = std::function<void(bool ok)>;
+  struct Record {
+    std::string head;
+    cairn::Signboard::Ptr text;  // large and seldom changed: written only when it has
+  };
+  struct Loaded {
+    std::string head;
+    std::string text;
+  };
+  enum class Found : std::uint8_t { nothing, record, damage };
 
   Cellar(Bell& bell, std::string folder, std::size_t bytes);
   ~Cellar();
   Cellar(const Cellar&) = delete;
   Cellar& operator=(const Cellar&) = delete;
 
-  // Before `start`: what was saved, if it is there and whole.
-  std::optional<std::string> load();
+  // Before `start`: what was saved, if it is there and whole. What is damaged is put aside.
+  std::optional<Loaded> load();
+  [[nodiscard]] Found found() const { return found_; }
   void start();
   // Writes and syncs the record; later saves that wait together are written as one.
-  void save(std::string record, Done done);
+  void save(Record record, Done done);
   // Runs after everything handed in before, without writing.
   void after(Done done);
   [[nodiscard]] std::size_t backlog();
   [[nodiscard]] const std::string& problem() const { return problem_; }
+  // The write itself, on the calling thread; for `work` and for tests.
+  bool write(const Record& record);
 
  private:
   struct Job {
-    std::optional<std::string> record;
+    std::optional<Record> record;
     std::vector<Done> done;
   };
   void work();
-  bool write(const std::string& record);
   bool open();
   void closeEnv();
+  bool failed(const std::string& what);
+  Found mendMeta();
+  bool seal();
+  void putAside();
+  [[nodiscard]] std::string file(const char* name) const { return folder_ + "/" + name; }
 
   Bell& bell_;
   std::string folder_;
   std::size_t bytes_;
   MDB_env* env_ = nullptr;
   unsigned dbi_ = 0;
+  std::uint64_t textHeld_ = 0;  // the text that is on the disk
+  std::uint64_t seals_ = 0;     // how many have been written
+  Found found_ = Found::nothing;
   std::string problem_;
   std::mutex lock_;
   std::condition_variable wake_;
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -43,7 +43,10 @@
     std::sort(known_.voters.begin(), known_.voters.end());
   }
   if (parts_.cellar == nullptr) return;
-  if (const auto saved = parts_.cellar->load()) ledge_ = Ledge::restore(settings.self, *saved);
+  if (auto saved = parts_.cellar->load()) {
+    ledge_ = Ledge::restore(settings.self,
+                            {saved->head, cairn::Signboard::of(std::move(saved->text))});
+  }
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
     shelf_.put(ledge_->value().config);
@@ -56,9 +59,13 @@
       known_.epoch = ledge_->value().epoch;
     }
   } else {
-    ledge_.emplace(settings.self, Life{random_() >> 1}, settings.bootstrap);
-    parts_.log(settings.bootstrap ? "first start, empty state"
-                                  : "empty disk, the other voters are read before voting");
+    // Where something was held and can't be read, promises may be among it.
+    const bool damaged = parts_.cellar->found() != Cellar::Found::nothing;
+    const bool first = settings.bootstrap && !damaged;
+    ledge_.emplace(settings.self, Life{random_() >> 1}, first);
+    parts_.log(damaged ? "damaged disk, the other voters are read before voting"
+               : first ? "first start, empty state"
+                       : "empty disk, the other voters are read before voting");
   }
   parts_.cellar->start();
 }
@@ -105,7 +112,8 @@
   };
   if (out.sync || dirty_) {
     dirty_ = false;
-    parts_.cellar->save(ledge_->save(), done);
+    auto saved = ledge_->save();
+    parts_.cellar->save({std::move(saved.head), std::move(saved.text)}, done);
   } else {
     parts_.cellar->after(done);
   }
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -182,7 +182,7 @@
 Ledge::Ledge(NodeId self, Life life, bool awake)
     : self_(std::move(self)), life_(life), awake_(awake) {}
 
-std::string Ledge::save() const {
+Ledge::Saved Ledge::save() const {
   json lives = json::object();
   for (const auto& [node, list] : lives_) {
     json values = json::array();
@@ -193,17 +193,14 @@
   const json head = {{"life", life_.value},           {"awake", awake_},
                      {"promised", toJson(promised_)}, {"accepted", toJson(accepted_)},
                      {"value", toJson(value_, apart)}, {"lives", std::move(lives)}};
-  std::string out = head.dump() + "\n";
-  if (value_.config) out += value_.config->text();
-  return out;
+  return {head.dump(), value_.config};
 }
 
-std::optional<Ledge> Ledge::restore(NodeId self, const std::string& record) {
+std::optional<Ledge> Ledge::restore(NodeId self, const Saved& record) {
   try {
-    const auto end = record.find('\n');
-    const auto saved = json::parse(record.substr(0, end));
+    const auto saved = json::parse(record.head);
     Shelf shelf;
-    if (end != std::string::npos) shelf.put(Signboard::of(record.substr(end + 1)));
+    shelf.put(record.text);
     Ledge ledge(std::move(self), Life{saved.at("life").get<std::uint64_t>()},
                 saved.at("awake").get<bool>());
     ledge.promised_ = ballotFrom(saved.at("promised"));
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -93,9 +93,13 @@
   // A voter of the very first start may vote at once; one with an empty disk later must read
   // the others first.
   Ledge(NodeId self, Life life, bool awake);
-  // A head as JSON and behind it the configuration's text as it is.
-  static std::optional<Ledge> restore(NodeId self, const std::string& saved);
-  [[nodiscard]] std::string save() const;
+  // A head as JSON, and the configuration's text apart, as it is.
+  struct Saved {
+    std::string head;
+    Signboard::Ptr text;
+  };
+  static std::optional<Ledge> restore(NodeId self, const Saved& saved);
+  [[nodiscard]] Saved save() const;
 
   struct Out {
     Reply reply;
--- a/tests/runner.hpp
+++ b/tests/runner.hpp
@@ -73,6 +73,7 @@
 void playPath(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playBank(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playNews(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
+void playDisk(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playText(const Scenario& scenario);
 
 }  // namespace merlin::test
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -21,7 +21,7 @@
 struct Machine {
   NodeId id;
   std::optional<Ledge> ledge;  // empty: the process is down
-  std::string disk;            // what a power cut leaves
+  std::optional<Ledge::Saved> disk;  // what a power cut leaves
   bool wiped = false;
   int life = 0;          // of the process; answers to an older one are lost
   double hungUntil = 0;  // disk
@@ -156,7 +156,7 @@
     ++m.life;
     m.ledge.reset();
     m.wiped = m.wiped || wipe;
-    if (wipe) m.disk.clear();
+    if (wipe) m.disk.reset();
     if (forMs < 1e8) {
       clock_.after(forMs, [this, &m] {
         if (!m.ledge) boot(m);
@@ -168,7 +168,7 @@
     ++m.life;
     m.known = Value{};
     m.known.voters = first_;
-    if (!m.disk.empty()) m.ledge = Ledge::restore(m.id, m.disk);
+    if (m.disk) m.ledge = Ledge::restore(m.id, *m.disk);
     if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, false);
     m.shelf = cairn::Shelf();
     m.shelf.put(m.ledge->value().config);
