--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -62,6 +62,7 @@
               post->id.str() + " has another book than " + posts_[0]->id.str());
     }
     out["slowest_ms"] = slowest_;
+    out["left"] = static_cast<double>(left_.size());
     out["words"] = static_cast<double>(words_);
     out["far_kb"] = farBytes_ / 1024;
     out["near_kb"] = nearBytes_ / 1024;
@@ -167,6 +168,7 @@
     for (auto& post : posts_) {
       if (post->up()) post->roster->tick();
     }
+    checkLeft();
     clock_.after(100, [this] { tick(); });
   }
 
@@ -221,6 +223,16 @@
           for (const auto& pair : pairs) cuts_.erase(pair);
           trouble(at(w[4]));
         });
+      } else if (what == "leave") {  // leave NODE ID COPIES KILL-MS: acknowledged, then killed at once
+        auto& post = at(w.at(3));
+        Server server;
+        server.id = InstanceId(w.at(4));
+        server.service = ServiceName("svc");
+        server.sequence = 1000;
+        server.status = Server::Status::draining;
+        post.book->beat(server, clock_.now());
+        post.roster->news();
+        acknowledge(post, post.life, server.id, std::stoul(w.at(5)), std::stod(w.at(6)));
       } else if (what == "forget") {  // a word is lost from one node's book, as by a fault
         at(w.at(3)).book->drop(InstanceId(w.at(4)));
       } else {
@@ -229,6 +241,38 @@
     });
   }
 
+  // Once enough cores hold the word it is acknowledged, and the node that heard it is lost.
+  void acknowledge(Post& post, int life, const InstanceId& id, std::size_t copies, double killMs) {
+    if (post.life != life) return;
+    const auto dot = post.book->dotOf(id);
+    require(dot.has_value(), "the word is gone from where it was heard");
+    if (post.roster->holders(*dot) < copies) {
+      clock_.after(2, [this, &post, life, id, copies, killMs] {
+        acknowledge(post, life, id, copies, killMs);
+      });
+      return;
+    }
+    left_[id] = clock_.ms();
+    if (killMs <= 0) return;
+    ++post.life;
+    post.roster.reset();
+    trouble(post);
+    clock_.after(killMs, [this, &post] { start(post); });
+  }
+
+  // After an acknowledged leaving nobody who has been up for a while may take the server for there.
+  void checkLeft() {
+    for (const auto& [id, since] : left_) {
+      if (clock_.ms() - since < number(s_, "bound", 2000)) continue;
+      for (const auto& post : posts_) {
+        if (!post->up() || !post->roster->everPulled() || !inTouch(*post)) continue;
+        const auto word = post->book->find(id);
+        require(!word || word->status != Server::Status::available,
+                post->id.str() + " has not noticed that " + id.str() + " leaves");
+      }
+    }
+  }
+
   std::vector<std::pair<NodeId, NodeId>> cutPairs(const std::string& a, const std::string& b) {
     std::vector<std::pair<NodeId, NodeId>> out;
     for (const auto& post : posts_) {
@@ -248,6 +292,7 @@
   std::uint64_t newest_ = 0;
   std::uint64_t words_ = 0;
   double newestAt_ = 0;
+  std::map<InstanceId, double> left_;
   double slowest_ = 0;
   double farBytes_ = 0;
   double nearBytes_ = 0;
