--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -37,7 +37,7 @@
         holders(farEdges, static_cast<double>(out.far), static_cast<double>(farServers));
     out.connections = static_cast<int>(room / std::max(1.0, hold));
     if (out.connections >= 1) return out;
-    if (out.far > 1) {
+    if (out.far > 0) {
       --out.far;
     } else if (out.near > 1) {
       --out.near;
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -78,6 +78,8 @@
         playPath(scenario, seed, measured);
       } else if (world == "news") {
         playNews(scenario, seed, measured);
+      } else if (world == "range") {
+        playRange(scenario, seed, measured);
       } else if (world == "disk") {
         playDisk(scenario, seed, measured);
       } else if (world == "bank") {
--- a/tests/runner.hpp
+++ b/tests/runner.hpp
@@ -74,6 +74,7 @@
 void playBank(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playNews(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playDisk(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
+void playRange(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playText(const Scenario& scenario);
 
 }  // namespace merlin::test
--- /dev/null
+++ b/tests/world_range.cpp
@@ -0,0 +1,157 @@
+// The subsets that the edges of a gateway draw from: how many connections a server may get from all
+// of them together, and how much changes when edges and servers come and go.
+#include <map>
+#include <memory>
+#include <set>
+
+#include "request/range.hpp"
+#include "runner.hpp"
+
+namespace merlin::test {
+
+using cairn::Guestbook;
+using cairn::Server;
+using trail::Range;
+
+namespace {
+
+struct Edge {
+  trail::Loads loads;
+  std::unique_ptr<Range> range;
+  ZoneName zone;
+};
+
+class RangeWorld {
+ public:
+  RangeWorld(const Scenario& scenario, std::uint64_t seed)
+      : s_(scenario),
+        clock_(seed),
+        zones_(static_cast<int>(number(s_, "zones", 3))),
+        most_(static_cast<int>(number(s_, "max_connections", 60))),
+        book_({NodeId("c"), ZoneName("z0"), true, false, false, 0, Life{}}, Life{1}) {}
+
+  void play(std::map<std::string, double>& out) {
+    const int servers = static_cast<int>(number(s_, "servers", 140));
+    const int edges = static_cast<int>(number(s_, "edges", 75));
+    for (int i = 0; i < servers; ++i) addServer(i);
+    for (int i = 0; i < edges; ++i) addEdge(i);
+    fleet();
+    measure(out);
+    const auto before = held();
+    addServer(servers);
+    addEdge(edges);
+    fleet();
+    measure(out);
+    // One edge and one server more: nobody but a few changes anything.
+    std::size_t moved = 0;
+    const auto after = held();
+    for (const auto& pair : before) moved += after.contains(pair) ? 0 : 1;
+    out["moved"] = static_cast<double>(moved) / static_cast<double>(before.size());
+    ill(out);
+    // The edges shrink to a few: they still find servers.
+    edges_.resize(2);
+    fleet();
+    for (auto& edge : edges_) require(!list(*edge).empty(), "an edge has nobody to draw from");
+  }
+
+ private:
+  void addServer(int i) {
+    Server server;
+    server.id = InstanceId("i" + std::to_string(clock_.random()));
+    server.service = service_;
+    server.address = "10.0.0." + std::to_string(i % 250 + 1) + ":80";
+    server.zone = ZoneName("z" + std::to_string(i % zones_));
+    server.slots = 4;
+    server.sequence = 1;
+    book_.beat(server, clock_.now());
+    servers_.push_back(server.id);
+  }
+
+  void addEdge(int i) {
+    auto edge = std::make_unique<Edge>();
+    edge->zone = ZoneName("z" + std::to_string(i % zones_));
+    edge->range = std::make_unique<Range>(
+        Range::Parts{book_, direct_, edge->loads, NodeId("e" + std::to_string(clock_.random())),
+                     edge->zone, true, [this](const ServiceName&) { return most_; }},
+        clock_.random());
+    edges_.push_back(std::move(edge));
+  }
+
+  void fleet() {
+    std::map<ZoneName, std::size_t> near;
+    for (const auto& edge : edges_) ++near[edge->zone];
+    for (const auto& edge : edges_) edge->range->fleet(near[edge->zone], edges_.size());
+  }
+
+  const std::vector<trail::Candidate>& list(Edge& edge) {
+    return edge.range->candidates(service_, false, clock_.now());
+  }
+
+  std::set<std::pair<std::size_t, InstanceId>> held() {
+    std::set<std::pair<std::size_t, InstanceId>> out;
+    for (std::size_t i = 0; i < edges_.size(); ++i) {
+      for (const auto& candidate : list(*edges_[i])) out.emplace(i, *candidate.id);
+    }
+    return out;
+  }
+
+  void measure(std::map<std::string, double>& out) {
+    std::map<InstanceId, double> connections;
+    std::map<InstanceId, double> holders;
+    double least = 1e9;
+    for (auto& edge : edges_) {
+      const auto& open = list(*edge);
+      const int each = edge->range->view(clock_.now()).at(service_).connections;
+      require(each >= 1, "an edge may hold no connection");
+      least = std::min(least, static_cast<double>(open.size()));
+      for (const auto& candidate : open) {
+        connections[*candidate.id] += each;
+        holders[*candidate.id] += 1;
+      }
+    }
+    double busiest = 0;
+    double most = 0;
+    for (const auto& [id, n] : connections) busiest = std::max(busiest, n);
+    for (const auto& [id, n] : holders) most = std::max(most, n);
+    require(busiest <= most_, "a server may get more connections than it takes: " +
+                                  std::to_string(busiest));
+    out["busiest"] = std::max(out["busiest"], busiest);
+    out["holders"] = std::max(out["holders"], most);
+    out["range"] = least;
+    out["unused"] = static_cast<double>(servers_.size() - holders.size());
+  }
+
+  // However many answers fail, only a bounded part is left alone, and trials bring servers back.
+  void ill(std::map<std::string, double>& out) {
+    auto& edge = *edges_[0];
+    const auto all = list(edge).size();
+    for (const auto& id : servers_) {
+      for (int i = 0; i < 5; ++i) edge.loads.answered(id, false, clock_.now());
+    }
+    const auto left = list(edge).size();
+    require(left * 3 + 3 >= all * 2 && left > 0, "too many servers are left alone");
+    require(left < all || all < 3, "servers that fail are not left alone");
+    out["left"] = static_cast<double>(left) / static_cast<double>(all);
+    clock_.runUntil(clock_.ms() + 20000);
+    for (const auto& id : servers_) edge.loads.answered(id, true, clock_.now());
+    require(list(edge).size() == all, "servers that are well again are not taken back");
+  }
+
+  const Scenario& s_;
+  Clock clock_;
+  int zones_;
+  int most_;
+  ServiceName service_{"svc"};
+  trail::Direct direct_;
+  Guestbook book_;
+  std::vector<InstanceId> servers_;
+  std::vector<std::unique_ptr<Edge>> edges_;
+};
+
+}  // namespace
+
+void playRange(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out) {
+  RangeWorld(scenario, seed).play(out);
+}
+
+}  // namespace merlin::test
--- a/tests/world_text.cpp
+++ b/tests/world_text.cpp
@@ -4,6 +4,7 @@
 #include "connection/framing.hpp"
 #include "errors.hpp"
 #include "process/settings.hpp"
+#include "request/approach.hpp"
 #include "runner.hpp"
 #include "version/chart.hpp"
 
@@ -60,6 +61,23 @@
   return reader.state() == saddle::BodyReader::State::done ? "whole" : "incomplete";
 }
 
+std::string answerVerdict(const std::vector<std::string>& w) {
+  const trail::Direct direct;
+  const trail::ThroughIngress ingress(1);
+  const trail::Approach& approach =
+      w[1] == "direct" ? static_cast<const trail::Approach&>(direct) : ingress;
+  Poco::Net::HTTPResponse response;
+  response.setStatus(w[3]);
+  for (std::size_t i = 4; i < w.size(); ++i) {
+    const auto at = w[i].find('=');
+    response.set(w[i].substr(0, at), w[i].substr(at + 1));
+  }
+  const auto refused = approach.read(response).refused;
+  if (!refused) return "passed";
+  static const char* const kNames[] = {"full", "notThere", "unreachable", "turnedAway", "maybeRun"};
+  return kNames[static_cast<int>(*refused)];
+}
+
 }  // namespace
 
 void playText(const Scenario& scenario) {
@@ -80,6 +98,9 @@
       const auto verdict = requestVerdict(unescaped(rest(2)), headLimit, bodyLimit);
       require(verdict == w[1], told + ": got " + verdict);
       ++checks;
+    } else if (w[0] == "answer") {  // answer direct|ingress OUTCOME STATUS HEADER=VALUE...
+      require(answerVerdict(w) == w[2], told + ": got " + answerVerdict(w));
+      ++checks;
     } else if (w[0] == "let") {  // let JSON: a block for the lines below
       block = rest(1);
     } else if (w[0] == "config" || w[0] == "settings") {
