--- a/src/process/cellar.cpp
+++ b/src/process/cellar.cpp
@@ -97,7 +97,8 @@
 
 void syncFolder(const std::string& path) {
   const File folder(path, O_RDONLY | O_DIRECTORY);
-  if (folder.good()) [[maybe_unused]] const bool done = folder.sync();
+  if (folder.good()) [[maybe_unused]]
+    const bool done = folder.sync();
 }
 
 std::string sealed(const std::string& record) {
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 namespace {
+constexpr Span kVoterLimit = std::chrono::seconds(4);  // the climb itself decides earlier
 constexpr Span kRejoinLimit = std::chrono::milliseconds(2000);
 constexpr double kRoundOfOneCoreMs = 10;  // small machines take longer to answer
 constexpr double kRoundMostMs = 500;
@@ -28,6 +29,9 @@
   return Climber::kRound + fromMillis(std::min(slow, kRoundMostMs));
 }
 
+// What nobody waits for may take longer where rounds do.
+Span Council::ownClimb() const { return std::max(kOwnClimb, roundTime() * 10); }
+
 struct Council::Climb {
   Climb(NodeId self, Value basis, Climber::Change change, std::uint64_t seed, Span round)
       : climber(std::move(self), std::move(basis), std::move(change), seed, round) {}
@@ -44,8 +48,8 @@
   }
   if (parts_.cellar == nullptr) return;
   if (auto saved = parts_.cellar->load()) {
-    ledge_ = Ledge::restore(settings.self,
-                            {saved->head, cairn::Signboard::of(std::move(saved->text))});
+    ledge_ =
+        Ledge::restore(settings.self, {saved->head, cairn::Signboard::of(std::move(saved->text))});
   }
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
@@ -128,6 +132,7 @@
   auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_(),
                                        roundTime());
   climb->told = std::move(told);
+  if (ledge_) climb->climber.holds(ledge_->value().config);
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
 
@@ -135,6 +140,7 @@
   for (const auto& send : sends) {
     const auto back = [this, climb, to = send.to, round = send.round](std::optional<Reply> reply) {
       if (!reply || climb->climber.result()) return;
+      shelf_.put(reply->value.config);
       carry(climb, climb->climber.reply(to, round, *reply, parts_.bell.now()));
     };
     if (send.to == parts_.settings.self) {
@@ -142,7 +148,7 @@
       continue;
     }
     parts_.wire.post(send.to, "/register", toJson(send.ask, &shelf_),
-                     2 * roundTime() + cairn::extraTime(send.ask.value),
+                     kVoterLimit + cairn::extraTime(send.ask.value),
                      [this, back](std::optional<json> answer) {
                        if (!answer) return;
                        try {
@@ -219,9 +225,10 @@
   // In the order of the voters, so that they don't take each other's turn.
   const auto& voters = known_.voters;
   const auto place = std::find(voters.begin(), voters.end(), parts_.settings.self) - voters.begin();
-  if (now - *aheadSince_ < kRepairAfter + place * kRepairTurn) return;
+  const Span turn = std::max(kRepairTurn, roundTime() / 2);
+  if (now - *aheadSince_ < kRepairAfter + place * turn) return;
   repairing_ = true;
-  climb([](const Value&, Value&) { return Climber::Verdict{}; }, kOwnClimb,
+  climb([](const Value&, Value&) { return Climber::Verdict{}; }, ownClimb(),
         [this](const Climber::Result&) {
           repairing_ = false;
           aheadSince_ = parts_.bell.now();
@@ -261,7 +268,7 @@
         if (current.before.empty()) next.voters = voters;
         return verdict;
       },
-      kOwnClimb,
+      ownClimb(),
       [this](const Climber::Result& result) {
         changingVoters_ = false;
         if (result.ok && result.known) {
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -59,6 +59,7 @@
   void repair();
   cairn::Value basis() const;
   [[nodiscard]] Span roundTime() const;
+  [[nodiscard]] Span ownClimb() const;
 
   Parts parts_;
   std::mt19937_64 random_;
--- a/src/process/office.cpp
+++ b/src/process/office.cpp
@@ -36,8 +36,8 @@
 }
 
 // One operator's change as a function of the current value.
-Climber::Verdict decide(const json& document, const cairn::Signboard::Ptr& text,
-                        bool whole, Revision base, const std::string& digest, const Value& current,
+Climber::Verdict decide(const json& document, const cairn::Signboard::Ptr& text, bool whole,
+                        Revision base, const std::string& digest, const Value& current,
                         Value& next) {
   using Kind = Climber::Verdict::Kind;
   Climber::Verdict verdict;
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -1,6 +1,7 @@
 #include "process/roster.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace merlin::hut {
@@ -16,21 +17,37 @@
 constexpr Span kRetryAfter = std::chrono::milliseconds(700);
 constexpr Span kBackFor = std::chrono::milliseconds(3500);
 constexpr std::size_t kCoresPerSidecar = 2;
+constexpr Span kProbeLimit = std::chrono::milliseconds(900);
+constexpr double kLinksAtPace = 12;
+constexpr Span kChooseEvery = std::chrono::milliseconds(500);
 constexpr Span kForgetPuller = std::chrono::seconds(20);
 }  // namespace
 
 std::vector<NodeId> rendezvous(const NodeId& self, const std::vector<NodeId>& all,
                                const std::set<NodeId>& near) {
-  std::vector<NodeId> out = all;
-  std::erase(out, self);
-  const auto weight = [&](const NodeId& node) {
-    return std::make_pair(near.contains(node) ? 1 : 0, mixHash(self.str() + ">" + node.str()));
-  };
-  std::sort(out.begin(), out.end(),
-            [&](const NodeId& a, const NodeId& b) { return weight(a) > weight(b); });
+  std::vector<std::tuple<int, std::uint64_t, const NodeId*>> weighed;
+  weighed.reserve(all.size());
+  for (const auto& node : all) {
+    if (node == self) continue;
+    weighed.emplace_back(near.contains(node) ? 1 : 0, mixHash(self.str() + ">" + node.str()),
+                         &node);
+  }
+  std::sort(weighed.begin(), weighed.end(), [](const auto& a, const auto& b) {
+    return std::tie(std::get<0>(a), std::get<1>(a)) > std::tie(std::get<0>(b), std::get<1>(b));
+  });
+  std::vector<NodeId> out;
+  out.reserve(weighed.size());
+  for (const auto& entry : weighed) out.push_back(*std::get<2>(entry));
   return out;
 }
 
+// A node that many pull from gathers longer.
+Span Roster::pace() const {
+  const double links = static_cast<double>(hanging_.size()) / kLinksAtPace;
+  return Span(
+      static_cast<std::int64_t>(static_cast<double>(parts_.pace.count()) * std::max(1.0, links)));
+}
+
 std::vector<NodeId> Roster::cores() const {
   std::set<NodeId> all;
   const auto& known = parts_.known();
@@ -96,8 +113,12 @@
 
 void Roster::tick() {
   if (stopped_) return;
-  choose();
   const Instant now = parts_.world.now();
+  if (chosenFor_ != parts_.guestbook.nodeChanges() || now - chosenAt_ > kChooseEvery) {
+    chosenFor_ = parts_.guestbook.nodeChanges();
+    chosenAt_ = now;
+    choose();
+  }
   std::erase_if(told_, [&](const auto& entry) {
     const auto heard = heard_.find(entry.first);
     return !hanging_.contains(entry.first) &&
@@ -120,7 +141,7 @@
   json body = {{"f", parts_.self.str()},
                {"s", parts_.known().sequence},
                {"w", hang.count() / 1000},
-               {"d", book.vectorHash()},
+               {"d", book.come().hash()},
                {"h", book.digest()}};
   if (parts_.known().config) body["t"] = parts_.known().config->id();
   if (link.back) body["b"] = 1;
@@ -132,13 +153,13 @@
   if (!news.empty()) body["v"] = cairn::toJson(news);
   // Lives struck from the vector since.
   json struck = json::array();
-  for (auto it = link.told.begin(); it != link.told.end();) {
-    if (book.vector().contains(it->first)) {
-      ++it;
-      continue;
+  if (link.told.entries().size() + news.size() > book.come().entries().size()) {
+    for (const auto& [source, count] : link.told.entries()) {
+      if (book.come().of(source) == 0) struck.push_back(source.str());
+    }
+    for (const auto& source : struck) {
+      link.told.strike(cairn::SourceId(source.get<std::string>()));
     }
-    struck.push_back(it->first.str());
-    it = link.told.erase(it);
   }
   if (!struck.empty()) body["x"] = std::move(struck);
   if (link.mend != 0) {
@@ -146,31 +167,30 @@
     body["i"] = book.itemsIn(link.mend, parts_.world.now());
     link.mend = 0;
   }
-  for (const auto& [source, count] : news) link.told[source] = count;
-  parts_.world.post(
-      peer, body, hang + kAnswerSlack, [this, peer](std::optional<json> answer) {
-        auto& l = links_[peer];
-        l.busy = false;
-        if (stopped_) return;
-        if (!answer) {
-          ++l.failures;
-          l.full = true;
-          l.retryAt = parts_.world.now() + kRetryAfter;
-          choose();
-          return;
-        }
-        l.failures = 0;
-        pulled_ = true;
-        heard_[peer] = parts_.world.now();
-        currentAt_[peer] = heard_[peer];
-        try {
-          took(peer, *answer);
-        } catch (const std::exception&) {
-          l.retryAt = parts_.world.now() + kRetryAfter;
-          return;
-        }
-        if (links_[peer].wanted) pull(peer);
-      });
+  for (const auto& [source, count] : news) link.told.set(source, count);
+  parts_.world.post(peer, body, hang + kAnswerSlack, [this, peer](std::optional<json> answer) {
+    auto& l = links_[peer];
+    l.busy = false;
+    if (stopped_) return;
+    if (!answer) {
+      ++l.failures;
+      l.full = true;
+      l.retryAt = parts_.world.now() + kRetryAfter;
+      choose();
+      return;
+    }
+    l.failures = 0;
+    pulled_ = true;
+    heard_[peer] = parts_.world.now();
+    currentAt_[peer] = heard_[peer];
+    try {
+      took(peer, *answer);
+    } catch (const std::exception&) {
+      l.retryAt = parts_.world.now() + kRetryAfter;
+      return;
+    }
+    if (links_[peer].wanted) pull(peer);
+  });
 }
 
 void Roster::took(const NodeId& peer, const json& answer) {
@@ -178,8 +198,7 @@
   auto& book = parts_.guestbook;
   bool fresh = false;
   if (answer.contains("i") || answer.contains("v")) {
-    const auto come =
-        answer.contains("v") ? cairn::vectorFrom(answer.at("v")) : cairn::Vector();
+    const auto come = answer.contains("v") ? cairn::vectorFrom(answer.at("v")) : cairn::Vector();
     fresh = book.merge(answer.value("i", json::array()), come, now);
   }
   auto& link = links_[peer];
@@ -198,7 +217,21 @@
   }
 }
 
+void Roster::probe(const NodeId& node, std::function<void(bool)> told) {
+  const json body = {{"f", parts_.self.str()}, {"p", 1}};
+  parts_.world.post(node, body, kProbeLimit,
+                    [this, node, told = std::move(told)](std::optional<json> answer) {
+                      const bool there = answer.has_value();
+                      if (there) heard_.erase(node);
+                      told(there);
+                    });
+}
+
 void Roster::serve(const json& pull, Answer answering) {
+  if (pull.contains("p")) {
+    answering("{}");
+    return;
+  }
   const NodeId from(pull.at("f").get<std::string>());
   Hanging hanging;
   hanging.answer = std::move(answering);
@@ -208,21 +241,19 @@
   const auto wait = std::clamp<std::int64_t>(pull.at("w").get<std::int64_t>(), 0, 5000);
   const Instant now = parts_.world.now();
   const bool asked = pull.contains("b");
-  const bool firstTime = asked && (!pulledFromHere_.contains(from) ||
-                                   now - pulledFromHere_[from] > kBackFor);
+  const bool firstTime =
+      asked && (!pulledFromHere_.contains(from) || now - pulledFromHere_[from] > kBackFor);
   if (asked) pulledFromHere_[from] = now;
   heard_[from] = now;
   auto& told = told_[from];
   if (pull.contains("a")) told.clear();
   if (pull.contains("v")) {
-    for (const auto& [source, count] : cairn::vectorFrom(pull.at("v"))) told[source] = count;
+    for (const auto& [source, count] : cairn::vectorFrom(pull.at("v"))) told.set(source, count);
   }
   if (pull.contains("x")) {
-    for (const auto& source : pull.at("x")) told.erase(cairn::SourceId(source.get<std::string>()));
+    for (const auto& source : pull.at("x")) told.strike(cairn::SourceId(source.get<std::string>()));
   }
-  std::uint64_t hash = 0;
-  for (const auto& [source, count] : told) hash ^= cairn::hashOf(source, count);
-  if (hash != pull.at("d").get<std::uint64_t>()) {
+  if (told.hash() != pull.at("d").get<std::uint64_t>()) {
     // What is remembered of the puller is not what it has: it is asked for its whole vector.
     told_.erase(from);
     hanging.answer(R"({"q":1})");
@@ -240,15 +271,16 @@
   }
   if (onTold) onTold();
   const auto answered = answeredAt_.find(from);
-  if (answered != answeredAt_.end()) hanging.notBefore = answered->second + parts_.pace;
+  const bool otherText = parts_.known().config && parts_.known().config->id() != hanging.text;
+  if (answered != answeredAt_.end() && !otherText) hanging.notBefore = answered->second + pace();
   const bool anything = anythingFor(from, hanging);
   if (wait == 0 || stopped_ || (anything && hanging.notBefore <= now)) {
     answer(from, hanging, false);
     return;
   }
   if (anything) news();
-  hanging.timer = parts_.world.after(fromMillis(static_cast<double>(wait)),
-                                     [this, from] { timeUp(from); });
+  hanging.timer =
+      parts_.world.after(fromMillis(static_cast<double>(wait)), [this, from] { timeUp(from); });
   auto older = hanging_.find(from);
   if (older != hanging_.end()) {
     // Its caller has given that one up.
@@ -307,7 +339,8 @@
   Instant again = Instant::max();
   for (const auto& [from, hanging] : hanging_) {
     if (!anythingFor(from, hanging)) continue;
-    if (hanging.notBefore <= now) {
+    const bool otherText = parts_.known().config && parts_.known().config->id() != hanging.text;
+    if (otherText || hanging.notBefore <= now) {
       due.push_back(from);
     } else {
       again = std::min(again, hanging.notBefore);
@@ -328,8 +361,7 @@
   for (const auto& [node, vector] : told_) {
     const auto facts = parts_.guestbook.nodes().find(node);
     if (facts == parts_.guestbook.nodes().end() || !facts->second.core) continue;
-    const auto held = vector.find(dot.source);
-    if (held != vector.end() && held->second >= dot.count) ++n;
+    if (vector.of(dot.source) >= dot.count) ++n;
   }
   return n;
 }
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -56,6 +56,9 @@
   // One pull from another node; answered now or when there is something new.
   void serve(const nlohmann::json& pull, Answer answer);
   void stop();
+  // Asks a node that has not been heard for a while whether it is there. One that is there has
+  // other neighbours now, and is theirs to watch.
+  void probe(const NodeId& node, std::function<void(bool)> told);
   [[nodiscard]] bool heardWithin(const NodeId& node, Span span) const;
   [[nodiscard]] Instant lastHeard(const NodeId& node) const;
   [[nodiscard]] bool everPulled() const { return pulled_; }
@@ -75,7 +78,7 @@
     bool full = true;   // the peer doesn't know how far this node has come
     int failures = 0;
     Instant retryAt;
-    cairn::Vector told;      // how far the peer knows this node to have come
+    cairn::Tally told;       // how far the peer knows this node to have come
     std::uint32_t mend = 0;  // ranges in which the two differ
   };
   struct Hanging {
@@ -87,6 +90,7 @@
     Instant notBefore;
   };
   void choose();
+  [[nodiscard]] Span pace() const;
   void pull(const NodeId& peer);
   void took(const NodeId& peer, const nlohmann::json& answer);
   void tellNews();
@@ -102,7 +106,9 @@
   std::map<NodeId, Instant> currentAt_;
   std::map<NodeId, Hanging> hanging_;
   std::map<NodeId, Instant> answeredAt_;  // when news last went to each puller
-  std::map<NodeId, cairn::Vector> told_;  // how far each puller has come, as it says
+  std::map<NodeId, cairn::Tally> told_;   // how far each puller has come, as it says
+  std::uint64_t chosenFor_ = 0;           // the change of nodes that the links were last chosen for
+  Instant chosenAt_;
   bool newsPlanned_ = false;
   bool pulled_ = false;
   bool stopped_ = false;
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -34,7 +34,8 @@
 constexpr Span kSweep = std::chrono::seconds(10);
 constexpr double kPaceMs = 8;  // between two answers with news on one link, on a whole core
 constexpr double kPaceMostMs = 250;
-constexpr int kSilentPeerMs = 700;  // no sign of its kernel for so long: the server's machine is gone
+constexpr int kSilentPeerMs =
+    700;  // no sign of its kernel for so long: the server's machine is gone
 constexpr std::size_t kControlBody = 8U << 20;
 
 Logger& logOf(const char* part) { return Logger::get(part); }
@@ -81,18 +82,16 @@
   world.post = [this](const NodeId& to, const json& body, Span limit, Wire::Answer answer) {
     wire_.post(to, "/news", body, limit, std::move(answer));
   };
-  const auto pace = fromMillis(std::clamp(kPaceMs / std::max(settings_.processor, 0.001), 0.0,
-                                          kPaceMostMs));
-  roster_ = std::make_unique<Roster>(
-      Roster::Parts{std::move(world), settings_.self, settings_.zone,
-                    [this]() -> const std::vector<NodeId>& { return settings_.seeds; }, guestbook_,
-                    [this]() -> const Value& { return council_->known(); },
-                    [this](std::uint64_t has) -> const std::string& {
-                      return council_->knownFor(has);
-                    },
-                    [this](const json& j) { return cairn::valueFrom(j, &council_->shelf()); },
-                    [this](const Value& value) { council_->learn(value); },
-                    [this] { fleetChanged(); }, core_, pace});
+  const auto pace =
+      fromMillis(std::clamp(kPaceMs / std::max(settings_.processor, 0.001), 0.0, kPaceMostMs));
+  roster_ = std::make_unique<Roster>(Roster::Parts{
+      std::move(world), settings_.self, settings_.zone,
+      [this]() -> const std::vector<NodeId>& { return settings_.seeds; }, guestbook_,
+      [this]() -> const Value& { return council_->known(); },
+      [this](std::uint64_t has) -> const std::string& { return council_->knownFor(has); },
+      [this](const json& j) { return cairn::valueFrom(j, &council_->shelf()); },
+      [this](const Value& value) { council_->learn(value); }, [this] { fleetChanged(); }, core_,
+      pace});
   roster_->onTold = [this] { checkHeld(); };
   office_ = std::make_unique<Office>(Office::Parts{
       bell_, *council_, guestbook_,
@@ -104,8 +103,7 @@
         whenHeld(id, std::move(done));
       },
       [this](const InstanceId& id) { return beatTarget(id); }, [this] { return status(); },
-      [this] { return ready(); },
-      [](const std::string& text) { logOf("hut").information(text); }});
+      [this] { return ready(); }, [](const std::string& text) { logOf("hut").information(text); }});
   if (!settings_.wayIn().empty()) {
     const bool gateway = !settings_.frontend.empty();
     std::unique_ptr<trail::Approach> approach;
@@ -116,26 +114,25 @@
     }
     egress_ = std::make_unique<trail::Egress>(trail::Egress::Parts{
         bell_, meshRopes_, guestbook_, [this] { return chart_; },
-        [this] { return roster_->currentWithin(kCurrent); }, std::move(approach),
-        settings_.service, settings_.self, settings_.zone, gateway,
+        [this] { return roster_->currentWithin(kCurrent); }, std::move(approach), settings_.service,
+        settings_.self, settings_.zone, gateway,
         trail::TollTerms{settings_.retryRatio, settings_.retrySlack, settings_.retryWindow},
         seed_ + 2});
   }
   if (!settings_.ingress.empty()) {
-    ingress_ = std::make_unique<trail::Ingress>(
-        trail::Ingress::Parts{bell_, appRopes_, settings_.appAddress,
-                              [this](const InstanceId& id) -> std::optional<Server> {
-                                return guestbook_.heardHere(id);
-                              },
-                              settings_.drainTimeout,
-                              [this](const InstanceId& id) {
-                                if (guestbook_.silence(id, bell_.now())) roster_->news();
-                              },
-                              [this](const InstanceId& id, int tenths) {
-                                if (guestbook_.setIll(id, tenths)) roster_->news();
-                              }});
+    ingress_ = std::make_unique<trail::Ingress>(trail::Ingress::Parts{
+        bell_, appRopes_, settings_.appAddress,
+        [this](const InstanceId& id) -> std::optional<Server> { return guestbook_.heardHere(id); },
+        settings_.drainTimeout,
+        [this](const InstanceId& id) {
+          if (guestbook_.silence(id, bell_.now())) roster_->news();
+        },
+        [this](const InstanceId& id, int tenths) {
+          if (guestbook_.setIll(id, tenths)) roster_->news();
+        }});
   }
   openDoors();
+  startedAt_ = bell_.now();
   logOf("hut").information("node " + settings_.nodeName + " has started");
   tick();
 }
@@ -156,7 +153,9 @@
   open(egressDoor_, settings_.wayIn(), gateway ? room / 2 : room / 3,
        [this](const auto& v) { egress_->visit(v); });
   if (egressDoor_) {
-    egressDoor_->reception->mayRunAhead = [this](const Visit& v) { return egress_->mayRunAhead(v); };
+    egressDoor_->reception->mayRunAhead = [this](const Visit& v) {
+      return egress_->mayRunAhead(v);
+    };
   }
   open(ingressDoor_, settings_.ingress, room / 3, [this](const auto& v) { ingress_->visit(v); });
   open(readyDoor_, settings_.readiness, 32, [this](const auto& v) { office_->visit(v); });
@@ -182,9 +181,12 @@
       }
       if (path == "/register") {
         const auto ask = cairn::askFrom(document, &council_->shelf());
-        council_->ask(ask, [this, visit, has = ask.text](std::optional<cairn::Reply> reply) {
+        const bool fetch = ask.kind == cairn::Ask::Kind::fetch;
+        const bool spare = ask.kind == cairn::Ask::Kind::prepare;
+        const std::uint64_t has = fetch ? 0 : ask.text;
+        council_->ask(ask, [this, visit, has, spare](std::optional<cairn::Reply> reply) {
           if (reply) {
-            visit->answer(200, "OK", toJson(*reply, has, &council_->shelf()).dump(),
+            visit->answer(200, "OK", toJson(*reply, has, &council_->shelf(), spare).dump(),
                           "application/json");
           } else {
             visit->fail(ErrorKind::noMajority);
@@ -257,8 +259,10 @@
 void Warden::duties() {
   if (stopping_) return;
   const Instant now = bell_.now();
+  const auto& known = council_->known();
   std::set<NodeId> live;
   std::set<NodeId> lost;
+  bool arriving = false;  // more are about to be live: they are added together
   for (const auto& [node, facts] : guestbook_.nodes()) {
     if (!facts.core) continue;
     if (node == settings_.self) {
@@ -266,12 +270,13 @@
       continue;
     }
     if (!coreSeen_.contains(node)) coreSeen_[node] = now;
-    if (roster_->heardWithin(node, kCoreLive) && !facts.leaving &&
-        now - coreSeen_[node] > kCoreSettled) {
+    if (!roster_->heardWithin(node, kCoreLive) || facts.leaving) continue;
+    if (now - coreSeen_[node] > kCoreSettled) {
       live.insert(node);
+    } else if (!known.isVoter(node)) {
+      arriving = true;
     }
   }
-  const auto& known = council_->known();
   for (const auto& voter : known.voters) {
     if (voter == settings_.self) continue;
     if (!coreSeen_.contains(voter)) coreSeen_[voter] = now;
@@ -281,7 +286,9 @@
     if (voter == settings_.self) break;
     if (live.contains(voter)) return;  // an earlier one lives: its duty
   }
-  if (!council_->awake()) return;
+  // One that isn't a voter steps in only where it has listened for long enough to know them dead.
+  if (!known.isVoter(settings_.self) && now - startedAt_ < 2 * kCoreLive) return;
+  if (!council_->awake() || (arriving && known.before.empty())) return;
   council_->keepVoters(live, lost);
 }
 
@@ -338,7 +345,8 @@
 }
 
 // The cores that a node pulls from watch it. What they find silent is told to all; a node that is
-// not says so itself. The servers it was hearing are given up by the first live core in their order.
+// not says so itself. The servers it was hearing are given up by the first live core in their
+// order.
 void Warden::watchNodes() {
   if (stopping_) return;
   const Instant now = bell_.now();
@@ -350,11 +358,17 @@
     if (heard == Instant() || now - heard <= kNodeSilent) {
       suspected_.erase(node);
     } else if (suspected_.insert(node).second) {
-      // Once: one that has chosen other watchers says that it lives, and they watch it from then.
       quiet.push_back(node);
     }
   }
-  for (const auto& node : quiet) changed = guestbook_.nodeSilent(node) || changed;
+  for (const auto& node : quiet) {
+    roster_->probe(node, [this, node](bool there) {
+      if (there || stopping_ || !guestbook_.nodeSilent(node)) return;
+      logOf("hut").information("node " + node.str() + " is silent");
+      fleetChanged();
+      roster_->news();
+    });
+  }
   const Span silent = fromSeconds(toSeconds(settings_.heartbeat) * kSilentBeats);
   changed = guestbook_.orphans(now, silent, [this](const InstanceId& id) {
     std::vector<NodeId> cores;
--- a/src/process/warden.hpp
+++ b/src/process/warden.hpp
@@ -81,6 +81,7 @@
   std::vector<Wait> waits_;
   std::set<NodeId> suspected_;  // found silent from here, and not heard since
   Instant sweepAt_;
+  Instant startedAt_;
 };
 
 }  // namespace merlin::hut
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -38,7 +38,7 @@
   int maxAttempts = 1;
   Instant deadline;
   bool replayable = true;  // the body is still held
-  double mostJobs = 0;     // a server with more jobs than so many slots' worth is left alone; 0: any
+  double mostJobs = 0;  // a server with more jobs than so many slots' worth is left alone; 0: any
 };
 
 struct Step {
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -268,8 +268,8 @@
     if (parts.gateway && failure != Call::Failure::notSent && failure != Call::Failure::stale) {
       egress_.loads_.answered(at_, false, now);
     }
-    const bool shut = !parts.gateway || failure == Call::Failure::notSent ||
-                      failure == Call::Failure::unclear;
+    const bool shut =
+        !parts.gateway || failure == Call::Failure::notSent || failure == Call::Failure::unclear;
     if (shut) egress_.loads_.failed(at_, now);
     if (streaming_) {
       cutShort();
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -28,8 +28,8 @@
 constexpr Span kFreshSafe = std::chrono::seconds(20);
 // Servers that say they drain take nothing new after this part of the drain time.
 constexpr double kDrainPart = 0.5;
-constexpr double kWeight = 0.1;   // of the newest answer in the share that fails
-constexpr int kTellStep = 2;      // tenths by which it must have changed to be told
+constexpr double kWeight = 0.1;  // of the newest answer in the share that fails
+constexpr int kTellStep = 2;     // tenths by which it must have changed to be told
 constexpr Span kTellEvery = std::chrono::milliseconds(500);
 
 std::int64_t numberOf(const std::string& text, std::int64_t otherwise) {
--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -8,7 +8,7 @@
 namespace merlin::trail {
 
 namespace {
-constexpr std::size_t kRead = 24;       // so many of each side are looked at for one choice
+constexpr std::size_t kRead = 24;  // so many of each side are looked at for one choice
 constexpr SubsetTerms kSubset{12, 4};
 constexpr double kRoomForSwing = 0.85;  // of what a server takes, while edges come and go
 constexpr double kShunnedMost = 1.0 / 3;
@@ -115,8 +115,8 @@
 
 // Only as many are shunned as the rest can do without.
 void Range::shun(Pool& pool) const {
-  const auto most =
-      static_cast<std::size_t>(kShunnedMost * static_cast<double>(pool.near.size() + pool.far.size()));
+  const auto most = static_cast<std::size_t>(
+      kShunnedMost * static_cast<double>(pool.near.size() + pool.far.size()));
   std::size_t shunned = 0;
   for (auto* list : {&pool.near, &pool.far}) {
     for (auto& peak : *list) {
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -54,8 +54,33 @@
 
 }  // namespace
 
+namespace {
 std::uint64_t hashOf(const SourceId& source, std::uint64_t count) {
-  return mixHash(source.str(), count);
+  return count == 0 ? 0 : mixHash(source.str(), count);
+}
+}  // namespace
+
+void Tally::set(const SourceId& source, std::uint64_t count) {
+  auto& held = entries_[source];
+  hash_ ^= hashOf(source, held) ^ hashOf(source, count);
+  held = count;
+}
+
+void Tally::strike(const SourceId& source) {
+  const auto it = entries_.find(source);
+  if (it == entries_.end()) return;
+  hash_ ^= hashOf(source, it->second);
+  entries_.erase(it);
+}
+
+void Tally::clear() {
+  entries_.clear();
+  hash_ = 0;
+}
+
+std::uint64_t Tally::of(const SourceId& source) const {
+  const auto it = entries_.find(source);
+  return it == entries_.end() ? 0 : it->second;
 }
 
 json toJson(const Vector& vector) {
@@ -77,16 +102,13 @@
 }
 
 Dot Guestbook::newDot() {
-  come(source_, ++count_);
+  cameTo(source_, ++count_);
   return {source_, count_};
 }
 
-void Guestbook::come(const SourceId& source, std::uint64_t count) {
-  auto& held = vector_[source];
-  if (held >= count && held != 0) return;
-  if (held != 0) vectorHash_ ^= hashOf(source, held);
-  held = count;
-  vectorHash_ ^= hashOf(source, held);
+void Guestbook::cameTo(const SourceId& source, std::uint64_t count) {
+  if (come_.of(source) >= count) return;
+  come_.set(source, count);
   streams_[source].touched = lastNow_;
 }
 
@@ -127,6 +149,7 @@
     const auto& old = nodeDots_[facts.id];
     streams_[old.source].items.erase(old.count);
   }
+  ++nodeChanges_;
   facts_[facts.id] = facts;
   nodeDots_[facts.id] = dot;
   digest_ ^= hashOf(facts);
@@ -251,11 +274,7 @@
     if (!stream.items.empty() || source == source_ || now - stream.touched <= kForgetStream) {
       return false;
     }
-    const auto held = vector_.find(source);
-    if (held != vector_.end()) {
-      vectorHash_ ^= hashOf(source, held->second);
-      vector_.erase(held);
-    }
+    come_.strike(source);
     return true;
   });
   return changed;
@@ -295,18 +314,15 @@
   return true;
 }
 
-bool Guestbook::lacks(const Vector& have) const {
-  for (const auto& [source, count] : vector_) {
-    const auto had = have.find(source);
-    const std::uint64_t from = had == have.end() ? 0 : had->second;
-    if (from >= count) continue;
+bool Guestbook::lacks(const Tally& have) const {
+  bool out = false;
+  have.behind(come_, [&](const SourceId& source, std::uint64_t, std::uint64_t from) {
+    if (out) return;
     const auto stream = streams_.find(source);
-    if (stream != streams_.end() &&
-        stream->second.items.upper_bound(from) != stream->second.items.end()) {
-      return true;
-    }
-  }
-  return false;
+    out = stream != streams_.end() &&
+          stream->second.items.upper_bound(from) != stream->second.items.end();
+  });
+  return out;
 }
 
 json Guestbook::itemJson(const Key& key, Instant now) const {
@@ -319,27 +335,23 @@
   return serverJson(item.server, age, item.dot);
 }
 
-json Guestbook::newerThan(const Vector& have, Instant now) const {
+json Guestbook::newerThan(const Tally& have, Instant now) const {
   json out = json::array();
-  for (const auto& [source, count] : vector_) {
-    const auto had = have.find(source);
-    const std::uint64_t from = had == have.end() ? 0 : had->second;
-    if (from >= count) continue;
+  have.behind(come_, [&](const SourceId& source, std::uint64_t, std::uint64_t from) {
     const auto stream = streams_.find(source);
-    if (stream == streams_.end()) continue;
+    if (stream == streams_.end()) return;
     for (auto it = stream->second.items.upper_bound(from); it != stream->second.items.end(); ++it) {
       out.push_back(itemJson(it->second, now));
     }
-  }
+  });
   return out;
 }
 
-Vector Guestbook::above(const Vector& have) const {
+Vector Guestbook::above(const Tally& have) const {
   Vector out;
-  for (const auto& [source, count] : vector_) {
-    const auto had = have.find(source);
-    if (had == have.end() || had->second < count) out.emplace_hint(out.end(), source, count);
-  }
+  have.behind(come_, [&](const SourceId& source, std::uint64_t count, std::uint64_t) {
+    out.emplace_hint(out.end(), source, count);
+  });
   return out;
 }
 
@@ -418,10 +430,10 @@
   // Only after its items: the vector says that all of them are here.
   for (const auto& [source, count] : came) {
     const auto stream = streams_.find(source);
-    const bool known = vector_.contains(source) ||
-                       (stream != streams_.end() && !stream->second.items.empty());
+    const bool known =
+        come_.of(source) > 0 || (stream != streams_.end() && !stream->second.items.empty());
     // A life without any word, unknown here: somebody has not struck it yet.
-    if (known) come(source, count);
+    if (known) cameTo(source, count);
   }
   return changed;
 }
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -50,6 +50,32 @@
 using SourceId = Name<struct SourceTag>;
 using Vector = std::map<SourceId, std::uint64_t>;
 
+// How far somebody has come, with a hash over it that is kept up as it changes.
+class Tally {
+ public:
+  void set(const SourceId& source, std::uint64_t count);
+  void strike(const SourceId& source);
+  void clear();
+  [[nodiscard]] const Vector& entries() const { return entries_; }
+  [[nodiscard]] std::uint64_t hash() const { return hash_; }
+  [[nodiscard]] std::uint64_t of(const SourceId& source) const;
+  // Calls `visit(source, theirs, mine)` for each entry of `ahead` that is above this one's.
+  template <class Visit>
+  void behind(const Tally& ahead, Visit visit) const {
+    if (hash_ == ahead.hash_) return;
+    auto mine = entries_.begin();
+    for (const auto& [source, count] : ahead.entries_) {
+      while (mine != entries_.end() && mine->first < source) ++mine;
+      const std::uint64_t have = mine != entries_.end() && mine->first == source ? mine->second : 0;
+      if (have < count) visit(source, count, have);
+    }
+  }
+
+ private:
+  Vector entries_;
+  std::uint64_t hash_ = 0;
+};
+
 struct Dot {
   SourceId source;
   std::uint64_t count = 0;
@@ -57,7 +83,6 @@
 
 nlohmann::json toJson(const Vector& vector);
 Vector vectorFrom(const nlohmann::json& j);
-std::uint64_t hashOf(const SourceId& source, std::uint64_t count);
 
 class Guestbook {
  public:
@@ -80,11 +105,11 @@
   void leave();
   bool nodeSilent(const NodeId& id);
 
-  // What `have` lacks, but for words of `except` itself; false if that is nothing.
-  bool lacks(const Vector& have) const;
-  nlohmann::json newerThan(const Vector& have, Instant now) const;
+  // Is there any word here that `have` doesn't cover, and which?
+  [[nodiscard]] bool lacks(const Tally& have) const;
+  [[nodiscard]] nlohmann::json newerThan(const Tally& have, Instant now) const;
   // Vector entries above `have`.
-  [[nodiscard]] Vector above(const Vector& have) const;
+  [[nodiscard]] Vector above(const Tally& have) const;
   // Takes items and, after them, how far the sender had come. True if anything changed.
   bool merge(const nlohmann::json& items, const Vector& come, Instant now);
   // All items of the ranges in `mask`.
@@ -93,11 +118,11 @@
   // For tests: an item is lost, as by a fault.
   void drop(const InstanceId& id);
 
-  [[nodiscard]] const Vector& vector() const { return vector_; }
-  [[nodiscard]] std::uint64_t vectorHash() const { return vectorHash_; }
+  [[nodiscard]] const Tally& come() const { return come_; }
   // Over the items that still matter; equal digests mean equal books.
   [[nodiscard]] std::uint64_t digest() const { return digest_; }
   [[nodiscard]] const std::map<NodeId, NodeFacts>& nodes() const { return facts_; }
+  [[nodiscard]] std::uint64_t nodeChanges() const { return nodeChanges_; }
   [[nodiscard]] const NodeFacts& self() const { return facts_.at(self_); }
   [[nodiscard]] std::optional<Server> find(const InstanceId& id) const;
   // What this node itself has heard from a server, in this life of the node.
@@ -127,7 +152,7 @@
     Instant touched;
   };
   Dot newDot();
-  void come(const SourceId& source, std::uint64_t count);
+  void cameTo(const SourceId& source, std::uint64_t count);
   void put(const Server& server, const Dot& dot, Instant closedAt);
   void putNode(const NodeFacts& facts, const Dot& dot);
   void write(const Server& server, Instant now) { put(server, newDot(), now); }
@@ -148,9 +173,9 @@
   std::unordered_map<InstanceId, Heard> heard_;
   std::map<InstanceId, Instant> expected_;  // an earlier life of this node heard them
   std::map<SourceId, Stream> streams_;
-  Vector vector_;
-  std::uint64_t vectorHash_ = 0;
+  Tally come_;
   std::uint64_t digest_ = 0;
+  std::uint64_t nodeChanges_ = 0;
   Instant lastNow_;
 };
 
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t kShortText = 2048;  // not worth packing
 constexpr std::uint64_t kBackOffMs = 20;
 constexpr int kBackOffSteps = 4;
+constexpr Span kRoundMost = std::chrono::seconds(4);
+constexpr Span kFetchTime = std::chrono::seconds(2);
 
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
@@ -38,7 +40,8 @@
 
 namespace {
 // The text itself, or whichever of its short forms the reader can use.
-void writeText(const Signboard& board, std::uint64_t has, const Shelf* shelf, json& out) {
+void writeText(const Signboard& board, std::uint64_t has, const Shelf* shelf, bool spare,
+               json& out) {
   out["i"] = board.id();
   if (has == board.id()) return;
   if (board.text().size() <= kShortText) {
@@ -54,13 +57,17 @@
       return;
     }
   }
-  out["z"] = board.packed();
+  if (spare) {
+    out["m"] = 1;
+  } else {
+    out["z"] = board.packed();
+  }
 }
 
 Signboard::Ptr readText(const json& j, const Shelf* shelf) {
   const auto id = j.at("i").get<std::uint64_t>();
   auto board = shelf == nullptr ? nullptr : shelf->find(id);
-  if (board) return board;
+  if (board || j.contains("m")) return board;
   if (j.contains("c")) {
     board = Signboard::of(j.at("c").get<std::string>());
   } else if (j.contains("z")) {
@@ -74,7 +81,7 @@
 }
 }  // namespace
 
-json toJson(const Value& value, std::uint64_t has, const Shelf* shelf) {
+json toJson(const Value& value, std::uint64_t has, const Shelf* shelf, bool spare) {
   json recent = json::array();
   for (const auto& taken : value.recent) {
     recent.push_back(json::array({taken.revision.value, taken.digest}));
@@ -82,7 +89,7 @@
   json out = {{"s", value.sequence}, {"e", value.epoch}, {"v", names(value.voters)}};
   if (!value.stamp.empty()) out["t"] = value.stamp;
   if (value.config) {
-    writeText(*value.config, has, shelf, out);
+    writeText(*value.config, has, shelf, spare, out);
     out["n"] = value.configRevision.value;
   }
   if (!recent.empty()) out["r"] = std::move(recent);
@@ -98,6 +105,7 @@
   value.stamp = j.value("t", "");
   if (j.contains("n")) {
     value.config = readText(j, shelf);
+    if (!value.config) value.absent = j.at("i").get<std::uint64_t>();
     value.configRevision = Revision{j.at("n").get<std::int64_t>()};
   }
   if (j.contains("b")) value.before = namesFrom(j.at("b"));
@@ -119,6 +127,8 @@
     out["l"] = std::move(lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
+  } else if (ask.kind == Ask::Kind::fetch) {
+    out["x"] = ask.text;
   } else if (!ask.have.empty()) {
     out["h"] = ask.have;
     if (ask.text != 0) out["x"] = ask.text;
@@ -129,7 +139,7 @@
 Ask askFrom(const json& j, const Shelf* shelf) {
   Ask ask;
   const int kind = j.at("k").get<int>();
-  if (kind < 0 || kind > static_cast<int>(Ask::Kind::rejoin)) throw std::out_of_range("ask kind");
+  if (kind < 0 || kind > static_cast<int>(Ask::Kind::fetch)) throw std::out_of_range("ask kind");
   ask.kind = static_cast<Ask::Kind>(kind);
   ask.from = NodeId(j.at("f").get<std::string>());
   ask.ballot = ballotFrom(j.at("b"));
@@ -147,7 +157,7 @@
   return ask;
 }
 
-json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf) {
+json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf, bool spare) {
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
   if (reply.text != 0) out["x"] = reply.text;
@@ -156,7 +166,7 @@
     if (reply.same) {
       out["i"] = true;
     } else {
-      out["v"] = toJson(reply.value, has, shelf);
+      out["v"] = toJson(reply.value, has, shelf, spare);
     }
   }
   return out;
@@ -190,9 +200,12 @@
     lives[node.str()] = std::move(values);
   }
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
-  const json head = {{"life", life_.value},           {"awake", awake_},
-                     {"promised", toJson(promised_)}, {"accepted", toJson(accepted_)},
-                     {"value", toJson(value_, apart)}, {"lives", std::move(lives)}};
+  const json head = {{"life", life_.value},
+                     {"awake", awake_},
+                     {"promised", toJson(promised_)},
+                     {"accepted", toJson(accepted_)},
+                     {"value", toJson(value_, apart)},
+                     {"lives", std::move(lives)}};
   return {head.dump(), value_.config};
 }
 
@@ -218,8 +231,8 @@
 }
 
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok,     !awake_, life_, promised_, accepted_, value_, same,
-          value_.config ? value_.config->id() : 0};
+  return {ok,        !awake_, life_, promised_,
+          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
 }
 
 // False where the life named is over.
@@ -256,6 +269,8 @@
     case Ask::Kind::rejoin:
       if (!learnLife(ask.from, ask.life)) return {answer(false), false};
       return {answer(true), true};
+    case Ask::Kind::fetch:
+      return {answer(true), false};
   }
   return {answer(false), false};
 }
@@ -332,6 +347,7 @@
   highest_ = ballot_.number;
   accepting_ = false;
   waiting_ = false;
+  fetching_ = false;
   asked_.clear();
   promises_.clear();
   accepts_.clear();
@@ -350,7 +366,7 @@
       ask.from = self_;
       ask.ballot = ballot_;
       ask.have = basis_.stamp;
-      ask.text = basis_.config ? basis_.config->id() : 0;
+      ask.text = held_ ? held_->id() : basis_.config ? basis_.config->id() : 0;
       out.push_back({voter, ask, round_});
     }
   }
@@ -384,15 +400,35 @@
     if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
     return {};
   }
+  if (fetching_) {
+    if (!reply.value.config || reply.value.config->id() != bestValue_.absent) return {};
+    bestValue_.config = reply.value.config;
+    bestValue_.absent = 0;
+    return promised(now);
+  }
   promises_[from] = reply;
   if (reply.accepted > bestBallot_) {
     bestBallot_ = reply.accepted;
     bestValue_ = reply.same ? basis_ : reply.value;
+    bestFrom_ = from;
+  }
+  if (bestValue_.absent != 0 && held_ && held_->id() == bestValue_.absent) {
+    bestValue_.config = held_;
+    bestValue_.absent = 0;
   }
   std::set<NodeId> have;
   for (const auto& [node, promise] : promises_) have.insert(node);
-  if (quorum(bestValue_, have)) return promised(now);
-  return askMore();
+  if (!quorum(bestValue_, have)) return askMore();
+  if (bestValue_.absent == 0) return promised(now);
+  // One of those that have the text sends it.
+  fetching_ = true;
+  ++round_;
+  roundEnds_ = now + roundTime_ + kFetchTime;
+  Ask ask;
+  ask.kind = Ask::Kind::fetch;
+  ask.from = self_;
+  ask.text = bestValue_.absent;
+  return {{bestFrom_, ask, round_}};
 }
 
 // A majority has promised: decide what the register is to hold next.
@@ -454,6 +490,8 @@
     return {};
   }
   if (now < roundEnds_) return {};
+  // Nobody refused, but too few answered in time: they may need longer.
+  if (!waiting_) roundTime_ = std::min(roundTime_ * 3 / 2, kRoundMost);
   return newRound(now);
 }
 
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -28,10 +28,11 @@
 
 // What the register holds.
 struct Value {
-  std::uint64_t sequence = 0;                 // one more with every change
-  std::uint64_t epoch = 0;                    // one more with every change of voters
-  std::string stamp;                          // names this value; two values never share one
-  Signboard::Ptr config;  // JSON as the operator wrote it, null at first
+  std::uint64_t sequence = 0;  // one more with every change
+  std::uint64_t epoch = 0;     // one more with every change of voters
+  std::string stamp;           // names this value; two values never share one
+  Signboard::Ptr config;       // JSON as the operator wrote it, null at first
+  std::uint64_t absent = 0;    // names a text that was not sent along
   Revision configRevision;
   struct Taken {
     Revision revision;
@@ -54,13 +55,15 @@
 nlohmann::json toJson(const Ballot& ballot);
 Ballot ballotFrom(const nlohmann::json& j);
 // `has` is the text that the reader is known to have (0: none): then only what differs is written.
-nlohmann::json toJson(const Value& value, std::uint64_t has = 0, const Shelf* shelf = nullptr);
+// `spare`: a large text that the reader lacks is only named.
+nlohmann::json toJson(const Value& value, std::uint64_t has = 0, const Shelf* shelf = nullptr,
+                      bool spare = false);
 // Throws where the text can't be made of what is on the shelf.
 Value valueFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 // Messages. One shape for all of them keeps the wire small and the runner simple.
 struct Ask {
-  enum class Kind : std::uint8_t { prepare, accept, rejoin };
+  enum class Kind : std::uint8_t { prepare, accept, rejoin, fetch };
   Kind kind = Kind::prepare;
   NodeId from;
   Ballot ballot;
@@ -68,7 +71,8 @@
   std::map<NodeId, Life> lives;  // accept: the lives that promised
   Life life;                     // rejoin: the asker's new life
   std::string have;              // prepare: stamp of the value the asker holds already
-  std::uint64_t text = 0;        // prepare: its text; accept (not sent): the reader's
+  std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
+                                 // accept (not sent): the reader's
 };
 
 struct Reply {
@@ -85,7 +89,8 @@
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
 Ask askFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 // `has`: the text that the asker said it has.
-nlohmann::json toJson(const Reply& reply, std::uint64_t has = 0, const Shelf* shelf = nullptr);
+nlohmann::json toJson(const Reply& reply, std::uint64_t has = 0, const Shelf* shelf = nullptr,
+                      bool spare = false);
 Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 class Ledge {
@@ -165,6 +170,8 @@
   [[nodiscard]] const std::optional<Result>& result() const { return result_; }
   // When `tick` is next wanted.
   [[nodiscard]] Instant wake() const { return std::min(roundEnds_, ends_); }
+  // A text at hand besides the basis', so that voters need not send it.
+  void holds(const Signboard::Ptr& text) { held_ = text; }
 
  private:
   std::vector<Send> newRound(Instant now);
@@ -188,6 +195,9 @@
   Ballot ballot_;
   bool accepting_ = false;
   bool waiting_ = false;
+  bool fetching_ = false;
+  Signboard::Ptr held_;
+  NodeId bestFrom_;
   int refusals_ = 0;
   std::set<NodeId> asked_;
   std::map<NodeId, Reply> promises_;
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -137,7 +137,8 @@
     });
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
     const auto before = app->runs().size();
-    for (int i = 0; i < 5; ++i) call(at(edge, kEgress), "GET", "/safe/5", {{"Host", "echo.example"}});
+    for (int i = 0; i < 5; ++i)
+      call(at(edge, kEgress), "GET", "/safe/5", {{"Host", "echo.example"}});
     require(app->runs().size() == before, "and goes on sending nothing");
   }
 
@@ -148,7 +149,8 @@
   eventually("the stutterer is known", [&] {
     return call(at(cores[2], kControl), "POST", "/v1/Instances.Heartbeat/i-2", {}, beat.dump())
                    .status == 200 &&
-           call(at(edge, kEgress), "GET", "/safe/0", {{"Host", "echo.example"}, {"Attempt-Id", "x"}})
+           call(at(edge, kEgress), "GET", "/safe/0",
+                {{"Host", "echo.example"}, {"Attempt-Id", "x"}})
                    .status == 200;
   });
   int served = 0;
--- a/tests/hosts.hpp
+++ b/tests/hosts.hpp
@@ -61,7 +61,8 @@
 };
 
 inline Reply call(const std::string& address, const std::string& method, const std::string& path,
-           const std::map<std::string, std::string>& headers = {}, const std::string& body = "") {
+                  const std::map<std::string, std::string>& headers = {},
+                  const std::string& body = "") {
   Reply reply;
   try {
     net::HTTPClientSession session{net::SocketAddress(address)};
@@ -110,7 +111,8 @@
         {"node_info",
          {{"target_service", "echo"}, {"revision", "v1"}, {"zone", "z"}, {"capacity", 2}}},
         {"status_detail", {{"status", status}, {"sequence", ++sequence_}, {"warmup_left_s", 0}}}};
-    return call(to.empty() ? at(ip_, kControl) : to, "POST", "/v1/Instances.Heartbeat/" + id_, {}, body.dump())
+    return call(to.empty() ? at(ip_, kControl) : to, "POST", "/v1/Instances.Heartbeat/" + id_, {},
+                body.dump())
         .status;
   }
 
@@ -199,7 +201,7 @@
     json settings = {
         {"self_node",
          {{"node_name", "node-" + ip},
-          {"serves", json::array({core                       ? "control_plane"
+          {"serves", json::array({core                 ? "control_plane"
                                   : kind == Kind::edge ? "edge"
                                                        : "sidecar"})},
           {"ip_address", ip},
--- a/tests/world_disk.cpp
+++ b/tests/world_disk.cpp
@@ -136,7 +136,8 @@
     } else {
       data = dataIs;
       if (stage == 1) {
-        for (std::size_t at = 0; at < kMetas; at += kPage) mix(dataWas, dataIs, at, at + kPage, data);
+        for (std::size_t at = 0; at < kMetas; at += kPage)
+          mix(dataWas, dataIs, at, at + kPage, data);
       } else if (stage == 2) {
         mix(sealsWas, sealsIs, 0, kPage, seals);
         mix(sealsWas, sealsIs, kPage, 2 * kPage, seals);
--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -151,12 +151,13 @@
         clock_.after(delay, [finish] { finish(std::nullopt); });
         return;
       }
-      target.roster->serve(json::parse(body), [this, &from, &target, finish](const std::string& text) {
-        count(target, from, text.size() + 200);
-        clock_.after(clock_.uniform(0.2, 3), [this, &from, &target, text, finish] {
-          if (linked(from.id, target.id)) finish(json::parse(text));
-        });
-      });
+      target.roster->serve(
+          json::parse(body), [this, &from, &target, finish](const std::string& text) {
+            count(target, from, text.size() + 200);
+            clock_.after(clock_.uniform(0.2, 3), [this, &from, &target, text, finish] {
+              if (linked(from.id, target.id)) finish(json::parse(text));
+            });
+          });
     });
   }
 
@@ -223,7 +224,8 @@
           for (const auto& pair : pairs) cuts_.erase(pair);
           trouble(at(w[4]));
         });
-      } else if (what == "leave") {  // leave NODE ID COPIES KILL-MS: acknowledged, then killed at once
+      } else if (what ==
+                 "leave") {  // leave NODE ID COPIES KILL-MS: acknowledged, then killed at once
         auto& post = at(w.at(3));
         Server server;
         server.id = InstanceId(w.at(4));
--- a/tests/world_range.cpp
+++ b/tests/world_range.cpp
@@ -113,8 +113,8 @@
     double most = 0;
     for (const auto& [id, n] : connections) busiest = std::max(busiest, n);
     for (const auto& [id, n] : holders) most = std::max(most, n);
-    require(busiest <= most_, "a server may get more connections than it takes: " +
-                                  std::to_string(busiest));
+    require(busiest <= most_,
+            "a server may get more connections than it takes: " + std::to_string(busiest));
     out["busiest"] = std::max(out["busiest"], busiest);
     out["holders"] = std::max(out["holders"], most);
     out["range"] = least;
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -20,7 +20,7 @@
 
 struct Machine {
   NodeId id;
-  std::optional<Ledge> ledge;  // empty: the process is down
+  std::optional<Ledge> ledge;        // empty: the process is down
   std::optional<Ledge::Saved> disk;  // what a power cut leaves
   bool wiped = false;
   int life = 0;          // of the process; answers to an older one are lost
@@ -195,6 +195,14 @@
     startPut(m, base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3), "");
   }
 
+  // Large enough to be packed, sent as a delta, or only named.
+  std::string textOf(const std::string& digest) const {
+    std::string out = "[{\"n\":\"" + digest + "\"}";
+    const int items = static_cast<int>(number(s_, "items", 2));
+    for (int i = 0; i < items; ++i) out += ",{\"r\":" + std::to_string(i * 7919) + "}";
+    return out + "]";
+  }
+
   std::shared_ptr<Call> startRead(Machine& m) {
     auto call = std::make_shared<Call>();
     call->read = true;
@@ -207,7 +215,7 @@
     call->base = base;
     call->revision = revision;
     call->digest = copyOf.empty() ? "d" + std::to_string(++digests_) : copyOf;
-    run(m, call, [base, revision, digest = call->digest](const Value& current, Value& next) {
+    run(m, call, [this, base, revision, digest = call->digest](const Value& current, Value& next) {
       Climber::Verdict verdict;
       for (const auto& taken : current.recent) {
         if (taken.digest == digest) return verdict;
@@ -218,7 +226,7 @@
       }
       verdict.kind = Climber::Verdict::Kind::put;
       next.configRevision = Revision{revision};
-      next.config = cairn::Signboard::of(digest);
+      next.config = cairn::Signboard::of(textOf(digest));
       next.recent.push_back({Revision{revision}, digest});
       return verdict;
     });
@@ -253,11 +261,21 @@
     const int life = m.life;
     for (const auto& send : sends) {
       deliver(m.id, send.to, [this, &m, call, climber, send, life] {
-        answer(machine(send.to.str()), send.ask, [this, &m, call, climber, send, life](Reply r) {
-          deliver(send.to, m.id, [this, &m, call, climber, send, life, r] {
+        auto& voter = machine(send.to.str());
+        answer(voter, send.ask, [this, &m, &voter, call, climber, send, life](Reply r) {
+          const bool spare = send.ask.kind == Ask::Kind::prepare;
+          const bool fetch = send.ask.kind == Ask::Kind::fetch;
+          const auto text = toJson(r, fetch ? 0 : send.ask.text, &voter.shelf, spare).dump();
+          deliver(send.to, m.id, [this, &m, call, climber, send, life, text] {
             if (m.life != life || climber->result()) return;
             // Messages cross the wire as text: what JSON drops must not be missed.
-            const auto reply = cairn::replyFrom(nlohmann::json::parse(toJson(r).dump()), &m.shelf);
+            Reply reply;
+            try {
+              reply = cairn::replyFrom(nlohmann::json::parse(text), &m.shelf);
+            } catch (const std::exception&) {
+              return;  // the text that it rests on has gone from the shelf since
+            }
+            m.shelf.put(reply.value.config);
             carry(m, call, climber, climber->reply(send.to, send.round, reply, clock_.now()));
           });
         });
@@ -285,6 +303,7 @@
     call.end = result.ok ? Call::End::ok : Call::End::refused;
     if (call.read) call.revision = result.chosen.configRevision.value;
     if (result.chosen.sequence > m.known.sequence) m.known = result.chosen;
+    m.shelf.put(m.known.config);
     m.ahead = -1;
     if (call.end == Call::End::ok) newest_ = std::max(newest_, call.revision);
   }
