--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -18,6 +18,7 @@
 constexpr Span kBackFor = std::chrono::milliseconds(3500);
 constexpr std::size_t kCoresPerSidecar = 2;
 constexpr Span kProbeLimit = std::chrono::milliseconds(900);
+constexpr Span kFirstAlone = std::chrono::milliseconds(400);
 constexpr double kLinksAtPace = 12;
 constexpr Span kChooseEvery = std::chrono::milliseconds(500);
 constexpr Span kForgetPuller = std::chrono::seconds(20);
@@ -128,7 +129,12 @@
   for (const auto& [node, link] : links_) {
     if (link.wanted && !link.busy && link.retryAt <= now) due.push_back(node);
   }
-  for (const auto& node : due) pull(node);
+  for (const auto& node : due) {
+    // The first book comes from one: the others then only send what it lacks.
+    if (!pulled_ && firstPullAt_ != Instant() && now - firstPullAt_ < kFirstAlone) break;
+    firstPullAt_ = now;
+    pull(node);
+  }
 }
 
 void Roster::pull(const NodeId& peer) {
@@ -164,7 +170,7 @@
   if (!struck.empty()) body["x"] = std::move(struck);
   if (link.mend != 0) {
     body["m"] = link.mend;
-    body["i"] = book.itemsIn(link.mend, parts_.world.now());
+    body["i"] = json::parse(book.itemsIn(link.mend, parts_.world.now()));
     link.mend = 0;
   }
   for (const auto& [source, count] : news) link.told.set(source, count);
@@ -217,14 +223,13 @@
   }
 }
 
-void Roster::probe(const NodeId& node, std::function<void(bool)> told) {
+void Roster::probe(const NodeId& node, const std::function<void(bool)>& told) {
   const json body = {{"f", parts_.self.str()}, {"p", 1}};
-  parts_.world.post(node, body, kProbeLimit,
-                    [this, node, told = std::move(told)](std::optional<json> answer) {
-                      const bool there = answer.has_value();
-                      if (there) heard_.erase(node);
-                      told(there);
-                    });
+  parts_.world.post(node, body, kProbeLimit, [this, node, told](const std::optional<json>& answer) {
+    const bool there = answer.has_value();
+    if (there) heard_.erase(node);
+    told(there);
+  });
 }
 
 void Roster::serve(const json& pull, Answer answering) {
@@ -265,8 +270,8 @@
   }
   if (firstTime) parts_.world.after(Span(0), [this] { tick(); });
   if (pull.contains("m")) {
-    const json out = {{"i", parts_.guestbook.itemsIn(pull.at("m").get<std::uint32_t>(), now)}};
-    hanging.answer(out.dump());
+    hanging.answer("{\"i\":" + parts_.guestbook.itemsIn(pull.at("m").get<std::uint32_t>(), now) +
+                   "}");
     return;
   }
   if (onTold) onTold();
@@ -306,22 +311,22 @@
 void Roster::answer(const NodeId& to, const Hanging& hanging, bool timeUp) {
   const auto& book = parts_.guestbook;
   const auto& told = told_[to];
-  json out = json::object();
-  auto items = book.newerThan(told, parts_.world.now());
-  const bool nothing = items.empty();
-  if (!nothing || parts_.known().sequence > hanging.sequence) {
-    answeredAt_[to] = parts_.world.now();
-  }
-  if (!nothing) out["i"] = std::move(items);
-  auto above = book.above(told);
-  if (!above.empty()) out["v"] = cairn::toJson(above);
+  std::string text = "{";
+  const auto add = [&text](const char* name, const std::string& value) {
+    text += (text.size() > 1 ? ",\"" : "\"") + std::string(name) + "\":" + value;
+  };
+  const auto items = book.newerThan(told, parts_.world.now());
+  const bool newValue = parts_.known().sequence > hanging.sequence;
+  if (!items.empty() || newValue) answeredAt_[to] = parts_.world.now();
+  if (!items.empty()) add("i", items);
+  const auto above = book.above(told);
+  if (!above.empty()) add("v", cairn::toJson(above).dump());
   // Nothing new for a while on either side, and yet the books differ: by ranges, then.
-  if (timeUp && nothing && hanging.digest != book.digest()) out["r"] = book.ranges();
-  std::string text = out.dump();
-  if (parts_.known().sequence > hanging.sequence) {
-    text.pop_back();
-    text += (text.size() > 1 ? ",\"c\":" : "\"c\":") + parts_.knownFor(hanging.text) + "}";
+  if (timeUp && items.empty() && hanging.digest != book.digest()) {
+    add("r", json(book.ranges()).dump());
   }
+  if (newValue) add("c", parts_.knownFor(hanging.text));
+  text += "}";
   hanging.answer(text);
 }
 
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -58,7 +58,7 @@
   void stop();
   // Asks a node that has not been heard for a while whether it is there. One that is there has
   // other neighbours now, and is theirs to watch.
-  void probe(const NodeId& node, std::function<void(bool)> told);
+  void probe(const NodeId& node, const std::function<void(bool)>& told);
   [[nodiscard]] bool heardWithin(const NodeId& node, Span span) const;
   [[nodiscard]] Instant lastHeard(const NodeId& node) const;
   [[nodiscard]] bool everPulled() const { return pulled_; }
@@ -109,6 +109,7 @@
   std::map<NodeId, cairn::Tally> told_;   // how far each puller has come, as it says
   std::uint64_t chosenFor_ = 0;           // the change of nodes that the links were last chosen for
   Instant chosenAt_;
+  Instant firstPullAt_;
   bool newsPlanned_ = false;
   bool pulled_ = false;
   bool stopped_ = false;
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -332,7 +333,7 @@
   if (it == gates_.end()) return;
   auto& gate = it->second;
   gate.failing += kWeight * ((well ? 0.0 : 1.0) - gate.failing);
-  const int tenths = static_cast<int>(gate.failing * 10 + 0.5);
+  const int tenths = static_cast<int>(std::lround(gate.failing * 10));
   const Instant now = parts_.bell.now();
   const bool tell = std::abs(tenths - gate.ill) >= kTellStep || (tenths == 0 && gate.ill != 0);
   if (!tell || now - gate.illAt < kTellEvery) return;
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -40,12 +40,12 @@
                       dot.source.str(), dot.count});
 }
 
-// `age`: how long ago it ended, in milliseconds.
-json serverJson(const Server& s, std::int64_t age, const Dot& dot) {
+// How long ago it ended, in milliseconds, follows as the last element.
+json serverJson(const Server& s, const Dot& dot) {
   const int flags = (s.cold ? 1 : 0) + (s.silent ? 2 : 0);
   return json::array({"s", s.id.str(), s.service.str(), s.address, s.zone.str(), s.slots,
                       static_cast<int>(s.status), s.sequence, s.edit, flags, s.ill, s.keeper.str(),
-                      age, dot.source.str(), dot.count});
+                      dot.source.str(), dot.count});
 }
 
 Dot dotFrom(const json& j, std::size_t at) {
@@ -126,6 +126,7 @@
   const bool wasClosed = item.closedAt.has_value();
   item.server = server;
   item.dot = dot;
+  item.text.clear();
   if (!closed(server)) {
     item.closedAt.reset();
   } else if (!wasClosed) {
@@ -150,6 +151,7 @@
     streams_[old.source].items.erase(old.count);
   }
   ++nodeChanges_;
+  nodeTexts_.erase(facts.id);
   facts_[facts.id] = facts;
   nodeDots_[facts.id] = dot;
   digest_ ^= hashOf(facts);
@@ -325,25 +327,34 @@
   return out;
 }
 
-json Guestbook::itemJson(const Key& key, Instant now) const {
+void Guestbook::appendItem(const Key& key, Instant now, std::string& out) const {
+  out += out.empty() ? "[" : ",";
   if (key.node) {
     const NodeId id(key.name);
-    return nodeJson(facts_.at(id), nodeDots_.at(id));
+    auto& text = nodeTexts_[id];
+    if (text.empty()) text = nodeJson(facts_.at(id), nodeDots_.at(id)).dump();
+    out += text;
+    return;
   }
   const auto& item = servers_.at(InstanceId(key.name));
+  if (item.text.empty()) {
+    item.text = serverJson(item.server, item.dot).dump();
+    item.text.back() = ',';
+  }
   const std::int64_t age = item.closedAt ? (now - *item.closedAt).count() / 1000 : 0;
-  return serverJson(item.server, age, item.dot);
+  out += item.text + std::to_string(age) + "]";
 }
 
-json Guestbook::newerThan(const Tally& have, Instant now) const {
-  json out = json::array();
+std::string Guestbook::newerThan(const Tally& have, Instant now) const {
+  std::string out;
   have.behind(come_, [&](const SourceId& source, std::uint64_t, std::uint64_t from) {
     const auto stream = streams_.find(source);
     if (stream == streams_.end()) return;
     for (auto it = stream->second.items.upper_bound(from); it != stream->second.items.end(); ++it) {
-      out.push_back(itemJson(it->second, now));
+      appendItem(it->second, now, out);
     }
   });
+  if (!out.empty()) out += "]";
   return out;
 }
 
@@ -372,8 +383,8 @@
   s.silent = (flags & 2) != 0;
   s.ill = j.at(10).get<int>();
   s.keeper = NodeId(j.at(11).get<std::string>());
-  const auto age = std::max<std::int64_t>(0, j.at(12).get<std::int64_t>());
-  const Dot dot = dotFrom(j, 13);
+  const Dot dot = dotFrom(j, 12);
+  const auto age = std::max<std::int64_t>(0, j.at(14).get<std::int64_t>());
   const auto it = servers_.find(s.id);
   if (it != servers_.end() && strength(s) <= strength(it->second.server)) return false;
   // The stronger word may come from a node that never heard what the server is.
@@ -438,16 +449,16 @@
   return changed;
 }
 
-json Guestbook::itemsIn(std::uint32_t mask, Instant now) const {
-  json out = json::array();
+std::string Guestbook::itemsIn(std::uint32_t mask, Instant now) const {
+  std::string out;
   const auto wanted = [&](const std::string& key) { return ((mask >> rangeOf(key)) & 1U) != 0; };
   for (const auto& [id, facts] : facts_) {
-    if (wanted(id.str())) out.push_back(itemJson({true, id.str()}, now));
+    if (wanted(id.str())) appendItem({true, id.str()}, now, out);
   }
   for (const auto& [id, item] : servers_) {
-    if (wanted(id.str())) out.push_back(itemJson({false, id.str()}, now));
+    if (wanted(id.str())) appendItem({false, id.str()}, now, out);
   }
-  return out;
+  return out.empty() ? "[]" : out + "]";
 }
 
 Guestbook::Ranges Guestbook::ranges() const {
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -107,13 +107,14 @@
 
   // Is there any word here that `have` doesn't cover, and which?
   [[nodiscard]] bool lacks(const Tally& have) const;
-  [[nodiscard]] nlohmann::json newerThan(const Tally& have, Instant now) const;
+  // As the text of a JSON list; empty where there is none. Words are put into text once.
+  [[nodiscard]] std::string newerThan(const Tally& have, Instant now) const;
   // Vector entries above `have`.
   [[nodiscard]] Vector above(const Tally& have) const;
   // Takes items and, after them, how far the sender had come. True if anything changed.
   bool merge(const nlohmann::json& items, const Vector& come, Instant now);
   // All items of the ranges in `mask`.
-  [[nodiscard]] nlohmann::json itemsIn(std::uint32_t mask, Instant now) const;
+  [[nodiscard]] std::string itemsIn(std::uint32_t mask, Instant now) const;
   [[nodiscard]] Ranges ranges() const;
   // For tests: an item is lost, as by a fault.
   void drop(const InstanceId& id);
@@ -138,6 +139,7 @@
     Server server;
     Dot dot;
     std::optional<Instant> closedAt;  // gone or silent since
+    mutable std::string text;         // as it is told, but for how long ago it ended
   };
   struct Heard {
     Instant at;
@@ -159,7 +161,7 @@
   void erase(const InstanceId& id);
   bool mergeServer(const nlohmann::json& j, Instant now);
   bool mergeNode(const nlohmann::json& j);
-  [[nodiscard]] nlohmann::json itemJson(const Key& key, Instant now) const;
+  void appendItem(const Key& key, Instant now, std::string& out) const;
 
   NodeId self_;
   SourceId source_;
@@ -169,6 +171,7 @@
   std::map<ServiceName, std::uint64_t> changes_;
   std::map<NodeId, NodeFacts> facts_;
   std::map<NodeId, Dot> nodeDots_;
+  mutable std::map<NodeId, std::string> nodeTexts_;
   std::map<NodeId, Instant> downSince_;  // silent or leaving nodes, as seen here
   std::unordered_map<InstanceId, Heard> heard_;
   std::map<InstanceId, Instant> expected_;  // an earlier life of this node heard them
