--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -103,6 +103,9 @@
     answer(std::nullopt);
     return;
   }
+  if (ask.from != parts_.settings.self && ask.kind != Ask::Kind::rejoin) {
+    rivalAt_ = parts_.bell.now();
+  }
   auto out = ledge_->ask(ask);
   shelf_.put(ledge_->value().config);
   const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
@@ -222,6 +225,8 @@
   }
   if (!aheadSince_) aheadSince_ = now;
   if (repairing_ || now - *aheadSince_ < kRepairAfter) return;
+  // Somebody else is at it: two at once only take each other's turn.
+  if (rivalAt_ != Instant() && now - rivalAt_ < 2 * roundTime()) return;
   // In the order of the voters, so that they don't take each other's turn.
   const auto& voters = known_.voters;
   const auto place = std::find(voters.begin(), voters.end(), parts_.settings.self) - voters.begin();
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -68,6 +68,7 @@
   std::map<std::uint64_t, std::string> knownTexts_;
   cairn::Shelf shelf_;
   std::uint64_t knownTextOf_ = 0;
+  Instant rivalAt_;     // when another node's round last came by
   bool dirty_ = false;  // the state in memory is ahead of the disk
   bool repairing_ = false;
   bool changingVoters_ = false;
