--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -12,6 +12,7 @@
 constexpr SubsetTerms kSubset{12, 4};
 constexpr double kRoomForSwing = 0.85;  // of what a server takes, while edges come and go
 constexpr double kShunnedMost = 1.0 / 3;
+constexpr double kRoomWithout = 0.7;    // of a near server's slots: then the ill can be spared
 constexpr int kShunFrom = 3;            // tenths of the answers that fail
 constexpr std::uint32_t kTrialIn = 10;  // one choice in so many may try a shunned one
 
@@ -136,8 +137,11 @@
     const auto& book = *peak.book;
     if (pool.connections > 0 && book.own >= pool.connections) continue;
     const Candidate candidate{&peak.id, &peak, Loads::jobs(book, now), peak.slots, peak.near};
-    bool open = Loads::reachable(book, now) && !(once && Loads::doubtful(book, now)) &&
-                (!peak.shunned || trial);
+    bool open = Loads::reachable(book, now) && !(once && Loads::doubtful(book, now));
+    if (open && peak.shunned && !trial) {
+      ill_.push_back(candidate);
+      continue;
+    }
     if (open && Loads::ejected(book, now) && left < most) {
       ++left;
       open = false;
@@ -151,9 +155,16 @@
   auto& from = pool(service);
   open_.clear();
   shut_.clear();
+  ill_.clear();
   const bool trial = !once && random_() % kTrialIn == 0;
   look(from.near, from, once, trial, now);
   look(from.far, from, once, trial, now);
+  // Under load a server that fails at times is better than none with a free slot: the failures
+  // may well be the load's own.
+  const bool room = std::any_of(open_.begin(), open_.end(), [](const Candidate& candidate) {
+    return candidate.hasRoomNear(kRoomWithout);
+  });
+  if (!room) open_.insert(open_.end(), ill_.begin(), ill_.end());
   // With nobody known to be in reach, those found out of reach are worth another try.
   return open_.empty() ? shut_ : open_;
 }
--- a/src/request/range.hpp
+++ b/src/request/range.hpp
@@ -91,6 +91,7 @@
   std::map<ServiceName, Pool> pools_;
   std::vector<Candidate> open_;
   std::vector<Candidate> shut_;
+  std::vector<Candidate> ill_;
   std::minstd_rand random_;
   std::size_t nearEdges_ = 1;
   std::size_t allEdges_ = 1;
