--- a/src/connection/guest.cpp
+++ b/src/connection/guest.cpp
@@ -172,6 +172,12 @@
   const auto hold = shared_from_this();
   bell_.cancel(timer_);
   rope_->drop();
+  abandonVisits();
+  if (onGone_) onGone_();
+}
+
+// Nobody waits for their answers any more: whatever runs of them ends.
+void Guest::abandonVisits() {
   const auto visits = std::move(visits_);
   visits_.clear();
   for (const auto& visit : visits) {
@@ -180,7 +186,6 @@
     visit->over_ = true;
     if (early && visit->onGone) visit->onGone();
   }
-  if (onGone_) onGone_();
 }
 
 void Guest::advance() {
@@ -330,16 +335,8 @@
     if (visit->closeAfter_) {
       bell_.cancel(timer_);
       over_ = true;
-      // What was sent behind it counts as unread: whatever runs of it ends here.
-      const auto behind = std::move(visits_);
-      visits_.clear();
       rope_->finish();
-      for (const auto& other : behind) {
-        --reception_->visits;
-        const bool early = !other->over_;
-        other->over_ = true;
-        if (early && other->onGone) other->onGone();
-      }
+      abandonVisits();  // what was sent behind it counts as unread
       if (onGone_) onGone_();
       return;
     }
--- a/src/connection/guest.hpp
+++ b/src/connection/guest.hpp
@@ -103,6 +103,7 @@
   void feedBody();
   void refuse(ErrorKind kind);
   void visitOver();
+  void abandonVisits();
   void begun(const Visit::Ptr& visit);
   [[nodiscard]] bool isFront(const Visit* visit) const;
   [[nodiscard]] bool mayReadOn() const;
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -276,8 +276,8 @@
   }
   if (onTold) onTold();
   const auto answered = answeredAt_.find(from);
-  const bool otherText = parts_.known().config && parts_.known().config->id() != hanging.text;
-  if (answered != answeredAt_.end() && !otherText) hanging.notBefore = answered->second + pace();
+  if (answered != answeredAt_.end() && !hasOtherText(hanging))
+    hanging.notBefore = answered->second + pace();
   const bool anything = anythingFor(from, hanging);
   if (wait == 0 || stopped_ || (anything && hanging.notBefore <= now)) {
     answer(from, hanging, false);
@@ -302,6 +302,11 @@
   if (!node.empty()) answer(from, node.mapped(), true);
 }
 
+// A new configuration waits for no pace.
+bool Roster::hasOtherText(const Hanging& hanging) const {
+  return parts_.known().config && parts_.known().config->id() != hanging.text;
+}
+
 bool Roster::anythingFor(const NodeId& from, const Hanging& hanging) const {
   if (parts_.known().sequence > hanging.sequence) return true;
   const auto told = told_.find(from);
@@ -344,8 +349,7 @@
   Instant again = Instant::max();
   for (const auto& [from, hanging] : hanging_) {
     if (!anythingFor(from, hanging)) continue;
-    const bool otherText = parts_.known().config && parts_.known().config->id() != hanging.text;
-    if (otherText || hanging.notBefore <= now) {
+    if (hasOtherText(hanging) || hanging.notBefore <= now) {
       due.push_back(from);
     } else {
       again = std::min(again, hanging.notBefore);
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -96,6 +96,7 @@
   void tellNews();
   void answer(const NodeId& to, const Hanging& hanging, bool timeUp);
   void timeUp(const NodeId& from);
+  [[nodiscard]] bool hasOtherText(const Hanging& hanging) const;
   [[nodiscard]] bool anythingFor(const NodeId& from, const Hanging& hanging) const;
   std::vector<NodeId> cores() const;
 
--- a/src/request/loads.hpp
+++ b/src/request/loads.hpp
@@ -38,7 +38,6 @@
   void answered(const InstanceId& id, bool well, Instant now);
   // Forgets those not used for long.
   void sweep(Instant now);
-  [[nodiscard]] std::size_t size() const { return books_.size(); }
 
   [[nodiscard]] static bool reachable(const Book& book, Instant now) {
     return book.shutUntil <= now;
