A core that comes back whole no longer fills its readers' links

Each beat became a word that said nothing new but the keeper, 40 KB in all, and every edge took it over three links of 2.5 Mbit/s while it uploaded its book to several cores at once. Requests waited half a second for the link.

Now a core lets words wait that change nothing but the keeper, and for 1.5 s after a restart those of servers it has no word of; they go out a few a tick. New neighbours are met one after the other and answer at once, so each sends only what those before it lacked.

--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -130,9 +130,11 @@
     if (link.wanted && !link.busy && link.retryAt <= now) due.push_back(node);
   }
   for (const auto& node : due) {
-    // The first book comes from one: the others then only send what it lacks.
-    if (!pulled_ && firstPullAt_ != Instant() && now - firstPullAt_ < kFirstAlone) break;
-    firstPullAt_ = now;
+    // One new neighbour after the other: each then only sends what those before it lacked.
+    if (!links_[node].met) {
+      if (firstMeetAt_ != Instant() && now - firstMeetAt_ < kFirstAlone) continue;
+      firstMeetAt_ = now;
+    }
     pull(node);
   }
 }
@@ -143,7 +145,7 @@
   const auto& book = parts_.guestbook;
   const auto facts = book.nodes().find(peer);
   const bool near = facts != book.nodes().end() && facts->second.zone == parts_.zone;
-  const Span hang = near ? kHangNear : kHangFar;
+  const Span hang = !link.met ? Span(0) : near ? kHangNear : kHangFar;
   json body = {{"f", parts_.self.str()},
                {"s", parts_.known().sequence},
                {"w", hang.count() / 1000},
@@ -178,6 +180,11 @@
     auto& l = links_[peer];
     l.busy = false;
     if (stopped_) return;
+    if (!l.met) {
+      firstMeetAt_ = Instant();
+      parts_.world.after(Span(0), [this] { tick(); });
+    }
+    l.met = l.met || answer.has_value();
     if (!answer) {
       ++l.failures;
       l.full = true;
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -76,6 +76,7 @@
     bool wanted = true;
     bool back = false;  // the peer is asked to pull from here too
     bool full = true;   // the peer doesn't know how far this node has come
+    bool met = false;   // it has answered once
     int failures = 0;
     Instant retryAt;
     cairn::Tally told;       // how far the peer knows this node to have come
@@ -110,7 +111,7 @@
   std::map<NodeId, cairn::Tally> told_;   // how far each puller has come, as it says
   std::uint64_t chosenFor_ = 0;           // the change of nodes that the links were last chosen for
   Instant chosenAt_;
-  Instant firstPullAt_;
+  Instant firstMeetAt_;  // the pull from one not met yet that is out
   bool newsPlanned_ = false;
   bool pulled_ = false;
   bool stopped_ = false;
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -32,6 +32,8 @@
 constexpr Span kNodeSilent = std::chrono::milliseconds(4500);
 constexpr Span kCurrent = std::chrono::milliseconds(2700);  // the longest hang and a little
 constexpr Span kSweep = std::chrono::seconds(10);
+constexpr std::size_t kWordsATick = 4;                        // of those that can wait
+constexpr Span kBookComes = std::chrono::milliseconds(1500);  // from neighbours, after a start
 constexpr double kPaceMs = 8;  // between two answers with news on one link, on a whole core
 constexpr double kPaceMostMs = 250;
 constexpr int kSilentPeerMs =
@@ -133,6 +135,7 @@
   }
   openDoors();
   startedAt_ = bell_.now();
+  if (core_) guestbook_.trickle(settings_.bootstrap ? startedAt_ : startedAt_ + kBookComes);
   logOf("hut").information("node " + settings_.nodeName + " has started");
   tick();
 }
@@ -240,6 +243,7 @@
     logOf("hut").information("a server beside this node is silent");
     roster_->news();
   }
+  if (guestbook_.settle(now)) roster_->news();
   roster_->tick();
   council_->tick();
   checkHeld();
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t kFewWords = 4;    // at least so many of those that waited go out at a time,
+constexpr std::size_t kWordsPart = 16;  // and this part of them
 constexpr Span kForgetStream = std::chrono::seconds(180);
 
 SourceId sourceOf(const NodeId& node, Life life) {
@@ -19,6 +21,12 @@
 
 auto strength(const NodeFacts& f) { return std::make_tuple(f.incarnation, f.leaving, f.silent); }
 
+// Who hears it aside, both words say the same.
+bool sameSaid(const Server& a, const Server& b) {
+  return a.status == b.status && a.slots == b.slots && a.address == b.address && a.cold == b.cold &&
+         a.service == b.service;
+}
+
 bool closed(const Server& s) { return s.status == Server::Status::gone || s.silent; }
 
 // Ended servers don't count: each node forgets them in its own time.
@@ -178,26 +186,58 @@
   auto [heard, first] = heard_.try_emplace(server.id);
   if (!first && server.sequence < heard->second.sequence) return Beat::stale;
   heard->second = {now, server.sequence};
-  const auto it = servers_.find(server.id);
   Server word = server;
   word.keeper = self_;
-  if (it != servers_.end()) {
-    const auto& held = it->second.server;
-    if (held.status == Server::Status::gone) return Beat::stale;
-    const bool same = held.status == word.status && held.slots == word.slots &&
-                      held.address == word.address && held.cold == word.cold &&
-                      held.service == word.service && held.keeper == self_ && !held.silent;
-    if (same) return Beat::same;
+  const auto it = servers_.find(server.id);
+  const Item* held = it == servers_.end() ? nullptr : &it->second;
+  if (held != nullptr) {
+    const auto& was = held->server;
+    if (was.status == Server::Status::gone) return Beat::stale;
+    if (sameSaid(was, word) && was.keeper == self_ && !was.silent) return Beat::same;
     // A word that was overtaken by a later one of the same server's, heard elsewhere.
-    if (word.sequence < held.sequence) return Beat::stale;
-    word.status = std::max(word.status, held.status);
-    word.ill = held.keeper == self_ ? held.ill : 0;
-    word.edit = word.sequence == held.sequence ? held.edit + 1 : 0;
+    if (word.sequence < was.sequence) return Beat::stale;
+  }
+  if (canWait(held, word, now)) {
+    waiting_[word.id] = word;
+    return Beat::same;
+  }
+  waiting_.erase(word.id);
+  if (held != nullptr) {
+    const auto& was = held->server;
+    word.status = std::max(word.status, was.status);
+    word.ill = was.keeper == self_ ? was.ill : 0;
+    word.edit = word.sequence == was.sequence ? was.edit + 1 : 0;
   }
   write(word, now);
   return Beat::news;
 }
 
+bool Guestbook::canWait(const Item* held, const Server& word, Instant now) const {
+  if (!trickles_) return false;
+  if (held == nullptr) return word.status == Server::Status::available && now < firstUntil_;
+  return sameSaid(held->server, word) && !held->server.silent;
+}
+
+bool Guestbook::settle(Instant now) {
+  if (waiting_.empty() || now < firstUntil_) return false;
+  bool changed = false;
+  const std::size_t most = std::max(kFewWords, waiting_.size() / kWordsPart);
+  for (std::size_t i = 0; i < most && !waiting_.empty(); ++i) {
+    auto word = waiting_.extract(waiting_.begin()).mapped();
+    const auto it = servers_.find(word.id);
+    if (it != servers_.end()) {
+      // Whatever has been said since stands: the server's next beat will be weighed against it.
+      const auto& was = it->second.server;
+      if (was.silent || !sameSaid(was, word) || was.keeper == self_) continue;
+      word.sequence = std::max(word.sequence, was.sequence);
+      word.edit = word.sequence == was.sequence ? was.edit + 1 : 0;
+    }
+    write(word, now);
+    changed = true;
+  }
+  return changed;
+}
+
 bool Guestbook::deregister(const InstanceId& id, Instant now) {
   lastNow_ = now;
   const auto it = servers_.find(id);
@@ -242,6 +282,7 @@
   std::erase_if(heard_, [&](const auto& entry) {
     const auto& [id, heard] = entry;
     if (now - heard.at <= silent) return false;
+    waiting_.erase(id);
     const auto it = servers_.find(id);
     if (it == servers_.end() || it->second.server.keeper != self_) return true;
     if (closed(it->second.server)) return now - heard.at > forget;
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -94,6 +94,14 @@
   enum class Beat : std::uint8_t { news, same, stale };
   // A server's own word, heard by this node.
   Beat beat(const Server& server, Instant now);
+  // What can wait, does, and then a few go out at a time: that a server beats to another node now,
+  // and, until `until`, servers that this life of the node knows nothing of yet. A whole core
+  // coming back would fill its readers' links with words that say nothing new.
+  void trickle(Instant until) {
+    trickles_ = true;
+    firstUntil_ = until;
+  }
+  bool settle(Instant now);
   bool deregister(const InstanceId& id, Instant now);
   // This node's own look at a server beside it that doesn't answer.
   bool silence(const InstanceId& id, Instant now);
@@ -153,6 +161,7 @@
     std::map<std::uint64_t, Key> items;  // by the count of the word they hold
     Instant touched;
   };
+  [[nodiscard]] bool canWait(const Item* held, const Server& word, Instant now) const;
   Dot newDot();
   void cameTo(const SourceId& source, std::uint64_t count);
   void put(const Server& server, const Dot& dot, Instant closedAt);
@@ -174,6 +183,9 @@
   mutable std::map<NodeId, std::string> nodeTexts_;
   std::map<NodeId, Instant> downSince_;  // silent or leaving nodes, as seen here
   std::unordered_map<InstanceId, Heard> heard_;
+  std::map<InstanceId, Server> waiting_;  // words that can wait, the latest of each server
+  bool trickles_ = false;
+  Instant firstUntil_;
   std::map<InstanceId, Instant> expected_;  // an earlier life of this node heard them
   std::map<SourceId, Stream> streams_;
   Tally come_;
--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -65,6 +65,8 @@
     out["left"] = static_cast<double>(left_.size());
     out["words"] = static_cast<double>(words_);
     out["far_kb"] = farBytes_ / 1024;
+    out["burst_kb"] = burst_;
+    out["servers"] = static_cast<double>(posts_[0]->book->usable(ServiceName("svc")).size());
     out["near_kb"] = nearBytes_ / 1024;
   }
 
@@ -98,6 +100,8 @@
                                std::function<void(std::optional<json>)> answer) {
       send(post, to, body.dump(), limit, std::move(answer));
     };
+    // As a restarted node does: what others may know already can wait.
+    if (post.core) post.book->trickle(clock_.now() + fromMillis(post.life > 1 ? 1500 : 0));
     post.roster = std::make_unique<Roster>(Roster::Parts{
         world, post.id, post.zone, [&post]() -> const std::vector<NodeId>& { return post.seeds; },
         *post.book, [&post]() -> const Value& { return post.known; },
@@ -163,11 +167,20 @@
 
   void count(const Post& a, const Post& b, std::size_t bytes) {
     (a.zone == b.zone ? nearBytes_ : farBytes_) += static_cast<double>(bytes);
+    if (clock_.ms() < number(s_, "burst_from", 0)) return;
+    for (const auto* post : {&a, &b}) {
+      if (post->core) continue;
+      auto& sum = bursts_[{post->id, static_cast<std::int64_t>(clock_.ms() / 500)}];
+      sum += static_cast<double>(bytes) / 1024;
+      burst_ = std::max(burst_, sum);
+    }
   }
 
   void tick() {
     for (auto& post : posts_) {
-      if (post->up()) post->roster->tick();
+      if (!post->up()) continue;
+      post->roster->tick();
+      if (post->core && post->book->settle(clock_.now())) post->roster->news();
     }
     checkLeft();
     clock_.after(100, [this] { tick(); });
@@ -235,6 +248,10 @@
         post.book->beat(server, clock_.now());
         post.roster->news();
         acknowledge(post, post.life, server.id, std::stoul(w.at(5)), std::stod(w.at(6)));
+      } else if (what == "servers") {  // so many beat to cores from now on
+        for (int i = 0; i < std::stoi(w.at(3)); ++i) {
+          clock_.after(clock_.uniform(0, 1000), [this, i] { beat(i, 0, 0); });
+        }
       } else if (what == "forget") {  // a word is lost from one node's book, as by a fault
         at(w.at(3)).book->drop(InstanceId(w.at(4)));
       } else {
@@ -243,6 +260,29 @@
     });
   }
 
+  // One server's beats: to one core until that fails, then at once to another.
+  void beat(int i, std::size_t core, std::uint64_t sequence) {
+    const auto cores = static_cast<std::size_t>(number(s_, "cores", 5));
+    if (sequence == 0) core = clock_.random() % cores;
+    for (std::size_t tries = 0; !posts_[core]->up() && tries < cores; ++tries) {
+      core = clock_.random() % cores;
+    }
+    auto& post = *posts_[core];
+    if (post.up()) {
+      Server server;
+      server.id = InstanceId("i-" + std::to_string(100000 + i));
+      server.service = ServiceName("svc");
+      server.address = "10.0.0." + std::to_string(i) + ":8080";
+      server.zone = post.zone;
+      server.sequence = ++sequence;
+      post.book->beat(server, clock_.now());
+      post.roster->news();
+    }
+    const double wait = post.up() ? 1500 : 100;
+    clock_.after(clock_.uniform(wait * 0.9, wait),
+                 [this, i, core, sequence] { beat(i, core, sequence + 1); });
+  }
+
   // Once enough cores hold the word it is acknowledged, and the node that heard it is lost.
   void acknowledge(Post& post, int life, const InstanceId& id, std::size_t copies, double killMs) {
     if (post.life != life) return;
@@ -298,6 +338,8 @@
   double slowest_ = 0;
   double farBytes_ = 0;
   double nearBytes_ = 0;
+  std::map<std::pair<NodeId, std::int64_t>, double> bursts_;  // at one node, in half a second
+  double burst_ = 0;
 };
 
 }  // namespace
