Servers choose the edges that draw from them; a core's hold ends with the first edge met

Cause: with subsets drawn from the edge's side the number of edges a server gets is luck.

Now rendezvous hashing is used from the server's side, so each server has equally many edges and the connection bound is exact.

--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -115,7 +115,8 @@
 void Roster::tick() {
   if (stopped_) return;
   const Instant now = parts_.world.now();
-  if (chosenFor_ != parts_.guestbook.nodeChanges() || now - chosenAt_ > kChooseEvery) {
+  if (chosenFor_ != parts_.guestbook.nodeChanges() || chosenAt_ == Instant() ||
+      now - chosenAt_ > kChooseEvery) {
     chosenFor_ = parts_.guestbook.nodeChanges();
     chosenAt_ = now;
     choose();
@@ -180,7 +181,8 @@
     auto& l = links_[peer];
     l.busy = false;
     if (stopped_) return;
-    if (!l.met) {
+    const bool first = !l.met;
+    if (first) {
       firstMeetAt_ = Instant();
       parts_.world.after(Span(0), [this] { tick(); });
     }
@@ -202,6 +204,7 @@
       l.retryAt = parts_.world.now() + kRetryAfter;
       return;
     }
+    if (first && onMet) onMet(peer);
     if (links_[peer].wanted) pull(peer);
   });
 }
@@ -275,7 +278,10 @@
     parts_.changed();
     news();
   }
-  if (firstTime) parts_.world.after(Span(0), [this] { tick(); });
+  if (firstTime) {
+    chosenAt_ = Instant();
+    parts_.world.after(Span(0), [this] { tick(); });
+  }
   if (pull.contains("m")) {
     hanging.answer("{\"i\":" + parts_.guestbook.itemsIn(pull.at("m").get<std::uint32_t>(), now) +
                    "}");
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -69,6 +69,8 @@
   [[nodiscard]] std::size_t holders(const cairn::Dot& dot) const;
   // Called whenever another node has told how far it has come.
   std::function<void()> onTold;
+  // Called when another node has answered for the first time.
+  std::function<void(const NodeId&)> onMet;
 
  private:
   struct Link {
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -135,7 +135,17 @@
   }
   openDoors();
   startedAt_ = bell_.now();
-  if (core_) guestbook_.trickle(settings_.bootstrap ? startedAt_ : startedAt_ + kBookComes);
+  if (core_) {
+    // Edges and sidecars outlive a core that is killed whole: the first of them has the book, or
+    // they were all started anew and nobody has one.
+    guestbook_.trickle(settings_.bootstrap ? startedAt_ : startedAt_ + kBookComes);
+    roster_->onMet = [this](const NodeId& node) {
+      const auto it = guestbook_.nodes().find(node);
+      if (it == guestbook_.nodes().end() || it->second.core) return;
+      guestbook_.trickle(bell_.now());
+      if (guestbook_.settle(bell_.now())) roster_->news();
+    };
+  }
   logOf("hut").information("node " + settings_.nodeName + " has started");
   tick();
 }
@@ -390,17 +400,14 @@
 
 void Warden::fleetChanged() {
   if (!egress_) return;
-  std::size_t near = 0;
-  std::size_t all = 0;
+  std::vector<trail::Drawer> nodes;
   std::size_t ever = 0;
   for (const auto& [node, facts] : guestbook_.nodes()) {
     if (facts.core) continue;
     ++ever;
-    if (facts.leaving || facts.silent) continue;
-    ++all;
-    if (facts.zone == settings_.zone) ++near;
+    if (!facts.leaving && !facts.silent) nodes.push_back({node, facts.zone});
   }
-  egress_->setFleet(near, all, ever);
+  egress_->setFleet(std::move(nodes), ever);
 }
 
 json Warden::status() {
--- a/src/request/egress.hpp
+++ b/src/request/egress.hpp
@@ -47,10 +47,10 @@
   void visit(const saddle::Visit::Ptr& visit);
   // May this request run before those ahead of it on its connection are answered?
   [[nodiscard]] bool mayRunAhead(const saddle::Visit& visit) const;
-  // Nodes that carry traffic: those in this zone, all, and all ever heard of.
-  void setFleet(std::size_t near, std::size_t all, std::size_t ever) {
+  // Nodes that carry traffic, and how many were ever heard of.
+  void setFleet(std::vector<Drawer> nodes, std::size_t ever) {
     toll_.setNodes(ever);
-    range_.fleet(near, all);
+    range_.fleet(std::move(nodes));
   }
   void sweep(Instant now) { loads_.sweep(now); }
   [[nodiscard]] auto view(Instant now) const { return range_.view(now); }
--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -3,56 +3,50 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 
 namespace merlin::trail {
 
 namespace {
 constexpr std::size_t kRead = 24;  // so many of each side are looked at for one choice
-constexpr SubsetTerms kSubset{12, 4};
+constexpr SubsetTerms kSubset{8, 3};
+constexpr double kLeastPart = 0.5;  // of the mean: no edge draws from fewer
+constexpr std::size_t kRanksKept = 4096;
 constexpr double kRoomForSwing = 0.85;  // of what a server takes, while edges come and go
 constexpr double kShunnedMost = 1.0 / 3;
 constexpr double kRoomWithout = 0.7;    // of a near server's slots: then the ill can be spared
 constexpr int kShunFrom = 3;            // tenths of the answers that fail
 constexpr std::uint32_t kTrialIn = 10;  // one choice in so many may try a shunned one
 
-double holders(double edges, double drawn, double servers) {
-  if (servers <= 0) return 0;
-  const double mean = edges * std::min(1.0, drawn / servers);
-  return drawn >= servers ? edges : std::min(edges, mean + 3 * std::sqrt(mean) + 1);
+// So many of `edges` draw from one server that each of them has `wanted` servers.
+std::size_t holders(const Crowd& crowd, std::size_t wanted) {
+  if (crowd.servers == 0 || crowd.edges == 0) return 0;
+  return std::min(crowd.edges, (wanted * crowd.edges + crowd.servers - 1) / crowd.servers);
 }
 }  // namespace
 
-Share shareOf(std::size_t nearServers, std::size_t farServers, std::size_t nearEdges,
-              std::size_t allEdges, int maxConnections, const SubsetTerms& terms) {
-  Share out{std::min(nearServers, terms.nearMost), std::min(farServers, terms.farMost), 0};
-  if (nearServers == 0) out.far = std::min(farServers, terms.nearMost);
+Share shareOf(const Crowd& near, const Crowd& far, int maxConnections, const SubsetTerms& terms) {
+  Share out{holders(near, terms.near), holders(far, terms.far), 0};
   if (maxConnections <= 0) return out;
-  const auto farEdges = static_cast<double>(allEdges - std::min(allEdges, nearEdges));
-  const double room = maxConnections * kRoomForSwing;
-  for (;;) {
-    // A server is near to its own zone's edges and far to all others.
-    const double hold =
-        holders(static_cast<double>(nearEdges), static_cast<double>(out.near),
-                static_cast<double>(nearServers)) +
-        holders(farEdges, static_cast<double>(out.far), static_cast<double>(farServers));
-    out.connections = static_cast<int>(room / std::max(1.0, hold));
-    if (out.connections >= 1) return out;
-    if (out.far > 0) {
-      --out.far;
-    } else if (out.near > 1) {
-      --out.near;
-    } else {
-      out.connections = 1;
-      return out;
-    }
+  const auto room =
+      std::max<std::size_t>(1, static_cast<std::size_t>(maxConnections * kRoomForSwing));
+  if (out.near + out.far > room) {
+    out.near = std::min(out.near, room);
+    out.far = std::min(out.far, room - out.near);
   }
+  out.connections = static_cast<int>(room / std::max<std::size_t>(1, out.near + out.far));
+  return out;
 }
 
-void Range::fleet(std::size_t nearEdges, std::size_t allEdges) {
-  if (nearEdges == nearEdges_ && allEdges == allEdges_) return;
-  nearEdges_ = nearEdges;
-  allEdges_ = allEdges;
+void Range::fleet(std::vector<Drawer> edges) {
+  const auto same = [](const Edge& a, const Drawer& b) { return a.who == b; };
+  if (std::equal(edges_.begin(), edges_.end(), edges.begin(), edges.end(), same)) return;
+  edges_.clear();
+  for (auto& edge : edges) {
+    const auto hash = mixHash(edge.id.str());
+    edges_.push_back({std::move(edge), hash});
+  }
+  ranks_.clear();
   ++fleet_;
 }
 
@@ -73,47 +67,86 @@
   pool.far.clear();
   auto servers = parts_.guestbook.usable(service);
   pool.known = servers.size();
-  std::vector<std::pair<std::uint64_t, const cairn::Server*>> near;
-  std::vector<std::pair<std::uint64_t, const cairn::Server*>> far;
-  for (const auto& server : servers) {
-    (server.zone == parts_.zone ? near : far)
-        .emplace_back(mixHash(parts_.self.str() + ">" + server.id.str()), &server);
-  }
-  std::size_t nearMost = near.size();
-  std::size_t farMost = far.size();
-  pool.connections = 0;
+  std::vector<Drawn> drawn;
   if (parts_.subset) {
-    const auto share = shareOf(near.size(), far.size(), nearEdges_, allEdges_,
-                               parts_.maxConnections(service), kSubset);
-    nearMost = share.near;
-    farMost = share.far;
-    pool.connections = share.connections;
+    drawn = subset(service, servers);
+  } else {
+    for (const auto& server : servers) drawn.push_back({&server, 0});
   }
-  const auto take = [&](auto& list, std::size_t most, bool isNear, std::vector<Peak>& out) {
-    std::sort(list.begin(), list.end(),
-              [](const auto& a, const auto& b) { return a.first > b.first; });
-    list.resize(std::min(list.size(), most));
-    for (const auto& [weight, server] : list) {
-      Peak peak;
-      try {
-        peak.at = parts_.approach.address(*server);
-      } catch (const Poco::Exception&) {
-        continue;  // no address that anything can be sent to
-      }
-      peak.id = server->id;
-      peak.life = parts_.approach.life(server->id);
-      peak.slots = server->slots;
-      peak.near = isNear;
-      peak.shunned = server->ill >= kShunFrom;
-      peak.book = &parts_.loads.book(server->id);
-      out.push_back(std::move(peak));
+  for (const auto& [server, connections] : drawn) {
+    Peak peak;
+    try {
+      peak.at = parts_.approach.address(*server);
+    } catch (const Poco::Exception&) {
+      continue;  // no address that anything can be sent to
     }
-  };
-  take(near, nearMost, true, pool.near);
-  take(far, farMost, false, pool.far);
+    peak.id = server->id;
+    peak.life = parts_.approach.life(server->id);
+    peak.slots = server->slots;
+    peak.near = server->zone == parts_.zone;
+    peak.connections = connections;
+    peak.shunned = server->ill >= kShunFrom;
+    peak.book = &parts_.loads.book(server->id);
+    (peak.near ? pool.near : pool.far).push_back(std::move(peak));
+  }
   shun(pool);
 }
 
+// This node's place in the server's own order of the edges on its side: those of the server's zone,
+// or all others.
+std::size_t Range::rank(const cairn::Server& server) {
+  const auto [it, fresh] = ranks_.try_emplace(server.id, 0);
+  if (!fresh) return it->second;
+  const bool near = server.zone == parts_.zone;
+  const auto own = mixHash(server.id.str(), mixHash(parts_.self.str()));
+  for (const auto& edge : edges_) {
+    if ((edge.who.zone == server.zone) != near) continue;
+    if (mixHash(server.id.str(), edge.hash) > own) ++it->second;
+  }
+  return it->second;
+}
+
+std::vector<Range::Drawn> Range::subset(const ServiceName& service,
+                                        const std::vector<cairn::Server>& servers) {
+  if (ranks_.size() > kRanksKept) ranks_.clear();
+  std::map<ZoneName, Crowd> crowds;
+  for (const auto& server : servers) ++crowds[server.zone].servers;
+  for (const auto& edge : edges_) ++crowds[edge.who.zone].edges;
+  const int most = parts_.maxConnections(service);
+  std::map<ZoneName, Share> shares;
+  double mean = 0;  // how many servers an edge of this zone draws from
+  for (const auto& [zone, near] : crowds) {
+    const Crowd far{servers.size() - near.servers, edges_.size() - near.edges};
+    const auto& share = shares[zone] = shareOf(near, far, most, kSubset);
+    const bool own = zone == parts_.zone;
+    const auto edges = static_cast<double>(std::max<std::size_t>(1, own ? near.edges : far.edges));
+    mean += static_cast<double>((own ? share.near : share.far) * near.servers) / edges;
+  }
+  std::vector<Drawn> out;
+  std::vector<std::tuple<bool, std::uint64_t, Drawn>> others;
+  for (const auto& server : servers) {
+    const auto& share = shares[server.zone];
+    const bool near = server.zone == parts_.zone;
+    if (rank(server) < (near ? share.near : share.far)) {
+      out.push_back({&server, share.connections});
+    } else {
+      others.emplace_back(near, mixHash(parts_.self.str() + ">" + server.id.str()),
+                          Drawn{&server, share.connections});
+    }
+  }
+  // Luck may leave an edge with few or none: it adds some in its own order.
+  const auto least = static_cast<std::size_t>(std::max(1.0, mean * kLeastPart));
+  if (out.size() >= least) return out;
+  const auto missing = std::min(others.size(), least - out.size());
+  std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(missing),
+                    others.end(), [](const auto& a, const auto& b) {
+                      return std::tie(std::get<0>(a), std::get<1>(a)) >
+                             std::tie(std::get<0>(b), std::get<1>(b));
+                    });
+  for (std::size_t i = 0; i < missing; ++i) out.push_back(std::get<2>(others[i]));
+  return out;
+}
+
 // Only as many are shunned as the rest can do without.
 void Range::shun(Pool& pool) const {
   const auto most = static_cast<std::size_t>(
@@ -126,7 +159,7 @@
   }
 }
 
-void Range::look(std::vector<Peak>& from, const Pool& pool, bool once, bool trial, Instant now) {
+void Range::look(std::vector<Peak>& from, bool once, bool trial, Instant now) {
   const std::size_t n = from.size();
   const std::size_t reads = std::min(n, kRead);
   const std::size_t first = reads < n ? random_() % n : 0;
@@ -135,7 +168,7 @@
   for (std::size_t i = 0; i < reads; ++i) {
     const auto& peak = from[(first + i) % n];
     const auto& book = *peak.book;
-    if (pool.connections > 0 && book.own >= pool.connections) continue;
+    if (peak.connections > 0 && book.own >= peak.connections) continue;
     const Candidate candidate{&peak.id, &peak, Loads::jobs(book, now), peak.slots, peak.near};
     bool open = Loads::reachable(book, now) && !(once && Loads::doubtful(book, now));
     if (open && peak.shunned && !trial) {
@@ -157,8 +190,8 @@
   shut_.clear();
   ill_.clear();
   const bool trial = !once && random_() % kTrialIn == 0;
-  look(from.near, from, once, trial, now);
-  look(from.far, from, once, trial, now);
+  look(from.near, once, trial, now);
+  look(from.far, once, trial, now);
   // Under load a server that fails at times is better than none with a free slot: the failures
   // may well be the load's own.
   const bool room = std::any_of(open_.begin(), open_.end(), [](const Candidate& candidate) {
@@ -175,9 +208,10 @@
     auto& view = out[service];
     view.inRange = pool.near.size() + pool.far.size();
     view.known = pool.known;
-    view.connections = pool.connections;
     for (const auto* list : {&pool.near, &pool.far}) {
       for (const auto& peak : *list) {
+        const bool fewest = view.connections == 0 || peak.connections < view.connections;
+        if (peak.connections > 0 && fewest) view.connections = peak.connections;
         if (peak.shunned || Loads::ejected(*peak.book, now)) ++view.ejected;
       }
     }
--- a/src/request/range.hpp
+++ b/src/request/range.hpp
@@ -1,5 +1,6 @@
 // range: the servers that this node draws from, per service, kept until the list of servers or the
-// fleet changes. A gateway's edge draws from a stable subset by rendezvous hashing.
+// fleet changes. A gateway's edge draws from a stable subset: each server is drawn from by the
+// edges that come first in its own rendezvous order, so that all servers have equally many.
 #pragma once
 
 #include <Poco/Net/SocketAddress.h>
@@ -7,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <random>
+#include <unordered_map>
 #include <vector>
 
 #include "request/approach.hpp"
@@ -24,24 +26,37 @@
   std::string life;
   int slots = 1;
   bool near = true;
+  int connections = 0;   // this node may hold so many to it; 0: no bound
   bool shunned = false;  // its answers fail far more often than the others'
   Loads::Book* book = nullptr;
 };
 
+// How many servers an edge would like to draw from.
 struct SubsetTerms {
-  std::size_t nearMost = 0;  // 0: all
-  std::size_t farMost = 0;
+  std::size_t near = 0;
+  std::size_t far = 0;
 };
 
-// How many connections one edge may hold to one server, and how many servers it draws from, so
-// that all edges together keep within what the server takes.
+// How many edges draw from one server, and how many connections each may hold to it, so that all
+// together keep within what the server takes.
 struct Share {
-  std::size_t near = 0;
+  std::size_t near = 0;  // of the server's own zone
   std::size_t far = 0;
-  int connections = 0;  // to one server; 0: no bound
+  int connections = 0;  // of one edge; 0: no bound
+};
+// Of the server's zone and of all others: servers of its service, and edges.
+struct Crowd {
+  std::size_t servers = 0;
+  std::size_t edges = 0;
+};
+Share shareOf(const Crowd& near, const Crowd& far, int maxConnections, const SubsetTerms& terms);
+
+// A node that draws from servers.
+struct Drawer {
+  NodeId id;
+  ZoneName zone;
+  bool operator==(const Drawer&) const = default;
 };
-Share shareOf(std::size_t nearServers, std::size_t farServers, std::size_t nearEdges,
-              std::size_t allEdges, int maxConnections, const SubsetTerms& terms);
 
 class Range {
  public:
@@ -62,14 +77,14 @@
   static const Peak& peak(const Candidate& candidate) {
     return *static_cast<const Peak*>(candidate.where);
   }
-  // The fleet of edges has changed.
-  void fleet(std::size_t nearEdges, std::size_t allEdges);
+  // The edges that there are, this one included.
+  void fleet(std::vector<Drawer> edges);
 
   struct View {
     std::size_t inRange = 0;
     std::size_t known = 0;
     std::size_t ejected = 0;
-    int connections = 0;
+    int connections = 0;  // the fewest to one server; 0: no bound
   };
   [[nodiscard]] std::map<ServiceName, View> view(Instant now) const;
 
@@ -81,20 +96,29 @@
     std::vector<Peak> near;
     std::vector<Peak> far;
     std::size_t known = 0;
-    int connections = 0;
   };
   Pool& pool(const ServiceName& service);
   void rebuild(const ServiceName& service, Pool& pool);
   void shun(Pool& pool) const;
-  void look(std::vector<Peak>& from, const Pool& pool, bool once, bool trial, Instant now);
+  void look(std::vector<Peak>& from, bool once, bool trial, Instant now);
+  struct Drawn {
+    const cairn::Server* server = nullptr;
+    int connections = 0;
+  };
+  std::vector<Drawn> subset(const ServiceName& service, const std::vector<cairn::Server>& servers);
+  std::size_t rank(const cairn::Server& server);
   Parts parts_;
   std::map<ServiceName, Pool> pools_;
   std::vector<Candidate> open_;
   std::vector<Candidate> shut_;
   std::vector<Candidate> ill_;
   std::minstd_rand random_;
-  std::size_t nearEdges_ = 1;
-  std::size_t allEdges_ = 1;
+  struct Edge {
+    Drawer who;
+    std::uint64_t hash = 0;
+  };
+  std::vector<Edge> edges_;
+  std::unordered_map<InstanceId, std::size_t> ranks_;  // while the fleet stays as it is
   std::uint64_t fleet_ = 0;
 };
 
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -220,19 +220,29 @@
 
 bool Guestbook::settle(Instant now) {
   if (waiting_.empty() || now < firstUntil_) return false;
-  bool changed = false;
   const std::size_t most = std::max(kFewWords, waiting_.size() / kWordsPart);
-  for (std::size_t i = 0; i < most && !waiting_.empty(); ++i) {
-    auto word = waiting_.extract(waiting_.begin()).mapped();
+  std::size_t moved = 0;
+  bool changed = false;
+  for (auto next = waiting_.begin(); next != waiting_.end();) {
+    const auto here = next++;
+    auto& word = here->second;
     const auto it = servers_.find(word.id);
     if (it != servers_.end()) {
-      // Whatever has been said since stands: the server's next beat will be weighed against it.
       const auto& was = it->second.server;
-      if (was.silent || !sameSaid(was, word) || was.keeper == self_) continue;
+      // Whatever has been said since stands: the server's next beat will be weighed against it.
+      const bool stands = was.silent || !sameSaid(was, word) || was.keeper == self_;
+      if (!stands && moved >= most) continue;
+      if (stands) {
+        waiting_.erase(here);
+        continue;
+      }
+      ++moved;
       word.sequence = std::max(word.sequence, was.sequence);
       word.edit = word.sequence == was.sequence ? was.edit + 1 : 0;
     }
+    // One that nobody knew of is news, and goes out at once.
     write(word, now);
+    waiting_.erase(here);
     changed = true;
   }
   return changed;
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -4,6 +4,7 @@
 // clock of its own, no sockets.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -98,6 +99,8 @@
   // and, until `until`, servers that this life of the node knows nothing of yet. A whole core
   // coming back would fill its readers' links with words that say nothing new.
   void trickle(Instant until) {
+    // Never later than said before.
+    if (trickles_) until = std::min(until, firstUntil_);
     trickles_ = true;
     firstUntil_ = until;
   }
--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -100,8 +100,6 @@
                                std::function<void(std::optional<json>)> answer) {
       send(post, to, body.dump(), limit, std::move(answer));
     };
-    // As a restarted node does: what others may know already can wait.
-    if (post.core) post.book->trickle(clock_.now() + fromMillis(post.life > 1 ? 1500 : 0));
     post.roster = std::make_unique<Roster>(Roster::Parts{
         world, post.id, post.zone, [&post]() -> const std::vector<NodeId>& { return post.seeds; },
         *post.book, [&post]() -> const Value& { return post.known; },
@@ -112,6 +110,14 @@
         [](const json& j) { return cairn::valueFrom(j); },
         [this, &post](const Value& value) { learn(post, value); }, [] {}, post.core,
         fromMillis(number(s_, "pace", 10))});
+    if (!post.core) return;
+    // As a restarted node does: what others may know already can wait.
+    post.book->trickle(clock_.now() + fromMillis(post.life > 1 ? 1500 : 0));
+    post.roster->onMet = [this, &post](const NodeId& node) {
+      if (at(node.str()).core) return;
+      post.book->trickle(clock_.now());
+      if (post.book->settle(clock_.now())) post.roster->news();
+    };
   }
 
   void learn(Post& post, const Value& value) {
--- a/tests/world_range.cpp
+++ b/tests/world_range.cpp
@@ -1,5 +1,6 @@
 // The subsets that the edges of a gateway draw from: how many connections a server may get from all
 // of them together, and how much changes when edges and servers come and go.
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -19,6 +20,7 @@
   trail::Loads loads;
   std::unique_ptr<Range> range;
   ZoneName zone;
+  NodeId id;
 };
 
 class RangeWorld {
@@ -70,17 +72,18 @@
   void addEdge(int i) {
     auto edge = std::make_unique<Edge>();
     edge->zone = ZoneName("z" + std::to_string(i % zones_));
-    edge->range = std::make_unique<Range>(
-        Range::Parts{book_, direct_, edge->loads, NodeId("e" + std::to_string(clock_.random())),
-                     edge->zone, true, [this](const ServiceName&) { return most_; }},
-        clock_.random());
+    edge->id = NodeId("e" + std::to_string(clock_.random()));
+    edge->range =
+        std::make_unique<Range>(Range::Parts{book_, direct_, edge->loads, edge->id, edge->zone,
+                                             true, [this](const ServiceName&) { return most_; }},
+                                clock_.random());
     edges_.push_back(std::move(edge));
   }
 
   void fleet() {
-    std::map<ZoneName, std::size_t> near;
-    for (const auto& edge : edges_) ++near[edge->zone];
-    for (const auto& edge : edges_) edge->range->fleet(near[edge->zone], edges_.size());
+    std::vector<trail::Drawer> all;
+    for (const auto& edge : edges_) all.push_back({edge->id, edge->zone});
+    for (const auto& edge : edges_) edge->range->fleet(all);
   }
 
   const std::vector<trail::Candidate>& list(Edge& edge) {
@@ -98,6 +101,7 @@
   void measure(std::map<std::string, double>& out) {
     std::map<InstanceId, double> connections;
     std::map<InstanceId, double> holders;
+    std::map<InstanceId, double> load;  // where every edge spreads as much evenly over its zone
     double least = 1e9;
     for (auto& edge : edges_) {
       const auto& open = list(*edge);
@@ -108,6 +112,10 @@
         connections[*candidate.id] += each;
         holders[*candidate.id] += 1;
       }
+      const auto near = std::count_if(open.begin(), open.end(), [](auto& c) { return c.near; });
+      for (const auto& candidate : open) {
+        if (candidate.near) load[*candidate.id] += 1.0 / static_cast<double>(near);
+      }
     }
     double busiest = 0;
     double most = 0;
@@ -115,6 +123,10 @@
     for (const auto& [id, n] : holders) most = std::max(most, n);
     require(busiest <= most_,
             "a server may get more connections than it takes: " + std::to_string(busiest));
+    double heaviest = 0;
+    for (const auto& [id, n] : load) heaviest = std::max(heaviest, n);
+    out["heaviest"] =
+        heaviest * static_cast<double>(servers_.size()) / static_cast<double>(edges_.size());
     out["busiest"] = std::max(out["busiest"], busiest);
     out["holders"] = std::max(out["holders"], most);
     out["range"] = least;
