--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -82,7 +82,7 @@
   preferNear(from, mayWait ? kNearQueue : kNearRoom);
   std::vector<Look> looks;
   looks.reserve(from.size());
-  for (const auto& candidate : from) looks.push_back({candidate.jobs});
+  for (const auto& candidate : from) looks.push_back({candidate.jobs + candidate.steady});
   const auto choice = wayfinder_.pick(looks);
   Step step;
   step.what = Step::Do::send;
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -18,7 +18,8 @@
 struct Candidate {
   const InstanceId* id = nullptr;
   const void* where = nullptr;  // the owner's own
-  double jobs = 0;
+  double jobs = 0;              // as far as this node can tell
+  double steady = 0;            // what others that draw from it are likely to have there
   int slots = 1;
   bool near = true;  // in this node's zone
   [[nodiscard]] bool hasRoomNear(double room) const { return near && jobs < room * slots; }
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -321,7 +321,7 @@
   void uncount() {
     if (!counted_) return;
     counted_ = false;
-    egress_.loads_.ended(at_);
+    egress_.loads_.ended(at_, egress_.parts_.bell.now());
   }
 
   void finish() {
--- a/src/request/loads.cpp
+++ b/src/request/loads.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr double kForgetSeconds = 1.0;  // a report loses its weight over about this long
+constexpr double kMeanSeconds = 3;      // of one's own requests at a server, for the others'
 constexpr double kShutFirstMs = 200;
 constexpr Span kDoubt = std::chrono::seconds(2);
 constexpr double kShutMostMs = 3000;
@@ -20,7 +21,7 @@
 
 void Loads::began(const InstanceId& id, Instant now) {
   auto& book = books_[id];
-  ++book.own;
+  count(book, 1, now);
   book.used = now;
   // The first to go there after an ejection is the trial: nobody else until it is back.
   if (book.ejections > 0 && book.ejectedUntil != Instant()) {
@@ -28,9 +29,17 @@
   }
 }
 
-void Loads::ended(const InstanceId& id) {
-  auto& book = books_[id];
-  book.own = std::max(0, book.own - 1);
+void Loads::ended(const InstanceId& id, Instant now) { count(books_[id], -1, now); }
+
+void Loads::count(Book& book, int by, Instant now) {
+  book.mean = mean(book, now);
+  book.meanAt = now;
+  book.own = std::max(0, book.own + by);
+}
+
+double Loads::mean(const Book& book, Instant now) {
+  const double kept = std::exp(-toSeconds(now - book.meanAt) / kMeanSeconds);
+  return book.own + (book.mean - book.own) * kept;
 }
 
 void Loads::reported(const InstanceId& id, double jobs, Instant now) {
--- a/src/request/loads.hpp
+++ b/src/request/loads.hpp
@@ -13,6 +13,8 @@
  public:
   struct Book {
     int own = 0;
+    double mean = 0;  // of the own requests there, over the last seconds
+    Instant meanAt;
     double others = 0;
     Instant at;
     int failures = 0;
@@ -29,7 +31,7 @@
   [[nodiscard]] std::uint64_t generation() const { return generation_; }
 
   void began(const InstanceId& id, Instant now);
-  void ended(const InstanceId& id);
+  void ended(const InstanceId& id, Instant now);
   // `jobs` running and waiting at the server, the reporter's own included.
   void reported(const InstanceId& id, double jobs, Instant now);
   void failed(const InstanceId& id, Instant now);
@@ -47,8 +49,11 @@
   // Its answers fail: left alone until a trial shows otherwise.
   [[nodiscard]] static bool ejected(const Book& book, Instant now);
   [[nodiscard]] static double jobs(const Book& book, Instant now);
+  // The own requests there, averaged over time: others that draw as this node does have as many.
+  [[nodiscard]] static double mean(const Book& book, Instant now);
 
  private:
+  void count(Book& book, int by, Instant now);
   std::unordered_map<InstanceId, Book> books_;
   std::uint64_t generation_ = 0;
 };
--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -71,9 +71,9 @@
   if (parts_.subset) {
     drawn = subset(service, servers);
   } else {
-    for (const auto& server : servers) drawn.push_back({&server, 0});
+    for (const auto& server : servers) drawn.push_back({&server, 0, 0});
   }
-  for (const auto& [server, connections] : drawn) {
+  for (const auto& [server, connections, sharers] : drawn) {
     Peak peak;
     try {
       peak.at = parts_.approach.address(*server);
@@ -85,6 +85,7 @@
     peak.slots = server->slots;
     peak.near = server->zone == parts_.zone;
     peak.connections = connections;
+    peak.sharers = sharers;
     peak.shunned = server->ill >= kShunFrom;
     peak.book = &parts_.loads.book(server->id);
     (peak.near ? pool.near : pool.far).push_back(std::move(peak));
@@ -127,11 +128,12 @@
   for (const auto& server : servers) {
     const auto& share = shares[server.zone];
     const bool near = server.zone == parts_.zone;
+    // Edges of other zones come only while those of its own have filled theirs.
+    const Drawn one{&server, share.connections, share.near - (near && share.near > 0 ? 1 : 0)};
     if (rank(server) < (near ? share.near : share.far)) {
-      out.push_back({&server, share.connections});
+      out.push_back(one);
     } else {
-      others.emplace_back(near, mixHash(parts_.self.str() + ">" + server.id.str()),
-                          Drawn{&server, share.connections});
+      others.emplace_back(near, mixHash(parts_.self.str() + ">" + server.id.str()), one);
     }
   }
   // Luck may leave an edge with few or none: it adds some in its own order.
@@ -169,7 +171,10 @@
     const auto& peak = from[(first + i) % n];
     const auto& book = *peak.book;
     if (peak.connections > 0 && book.own >= peak.connections) continue;
-    const Candidate candidate{&peak.id, &peak, Loads::jobs(book, now), peak.slots, peak.near};
+    const double steady =
+        peak.sharers == 0 ? 0 : static_cast<double>(peak.sharers) * Loads::mean(book, now);
+    const Candidate candidate{&peak.id, &peak,      Loads::jobs(book, now),
+                              steady,   peak.slots, peak.near};
     bool open = Loads::reachable(book, now) && !(once && Loads::doubtful(book, now));
     if (open && peak.shunned && !trial) {
       ill_.push_back(candidate);
--- a/src/request/range.hpp
+++ b/src/request/range.hpp
@@ -26,8 +26,9 @@
   std::string life;
   int slots = 1;
   bool near = true;
-  int connections = 0;   // this node may hold so many to it; 0: no bound
-  bool shunned = false;  // its answers fail far more often than the others'
+  std::size_t sharers = 0;  // other nodes that draw from it as this one does
+  int connections = 0;      // this node may hold so many to it; 0: no bound
+  bool shunned = false;     // its answers fail far more often than the others'
   Loads::Book* book = nullptr;
 };
 
@@ -104,6 +105,7 @@
   struct Drawn {
     const cairn::Server* server = nullptr;
     int connections = 0;
+    std::size_t sharers = 0;
   };
   std::vector<Drawn> subset(const ServiceName& service, const std::vector<cairn::Server>& servers);
   std::size_t rank(const cairn::Server& server);
--- a/tests/world_path.cpp
+++ b/tests/world_path.cpp
@@ -182,7 +182,7 @@
       if (host->drainedAt >= 0 && clock_.ms() - host->drainedAt > number(s_, "news", 50)) continue;
       const auto& book = node.loads.book(host->id);
       if (!Loads::reachable(book, clock_.now())) continue;
-      out.push_back({&host->id, nullptr, Loads::jobs(book, clock_.now()), host->gate->slots()});
+      out.push_back({&host->id, nullptr, Loads::jobs(book, clock_.now()), 0, host->gate->slots()});
     }
     return out;
   }
@@ -275,7 +275,7 @@
       }
       clock_.after(clock_.uniform(0.1, 1.2), [this, request, turn, &host, jobs] {
         auto& node = *nodes_[static_cast<std::size_t>(request->node)];
-        if (request->turn == turn) node.loads.ended(host.id);
+        if (request->turn == turn) node.loads.ended(host.id, clock_.now());
         node.loads.reported(host.id, jobs, clock_.now());
         if (request->over || request->turn != turn) return;
         request->over = true;
@@ -306,7 +306,7 @@
             double ms) {
     clock_.after(ms, [this, request, turn, &host, outcome] {
       auto& node = *nodes_[static_cast<std::size_t>(request->node)];
-      if (request->turn == turn) node.loads.ended(host.id);
+      if (request->turn == turn) node.loads.ended(host.id, clock_.now());
       if (outcome == Outcome::unreachable || outcome == Outcome::notThere) {
         node.loads.failed(host.id, clock_.now());
       }
--- a/tests/world_range.cpp
+++ b/tests/world_range.cpp
@@ -50,6 +50,7 @@
     for (const auto& pair : before) moved += after.contains(pair) ? 0 : 1;
     out["moved"] = static_cast<double>(moved) / static_cast<double>(before.size());
     ill(out);
+    slow();
     // The edges shrink to a few: they still find servers.
     edges_.resize(2);
     fleet();
@@ -149,6 +150,25 @@
     require(list(edge).size() == all, "servers that are well again are not taken back");
   }
 
+  // Where an edge's requests stay for long, others' do too: it counts as busier, for a while.
+  void slow() {
+    auto& edge = *edges_[0];
+    const auto id = *list(edge).front().id;
+    const auto steady = [&] {
+      for (const auto& candidate : list(edge)) {
+        if (*candidate.id == id) return candidate.steady;
+      }
+      return -1.0;
+    };
+    const double before = steady();
+    edge.loads.began(id, clock_.now());
+    clock_.runUntil(clock_.ms() + 3000);
+    edge.loads.ended(id, clock_.now());
+    require(steady() > before + 1, "a server where requests stay is not taken for busier");
+    clock_.runUntil(clock_.ms() + 30000);
+    require(steady() < before + 0.1, "it is taken for busier for ever");
+  }
+
   const Scenario& s_;
   Clock clock_;
   int zones_;
