One neighbour carries the news to a node; the others are asked now and then

Cause: every node that carries traffic let pulls hang at two cores and a sibling, and a core at every edge. A word that came to all at once crossed three of an edge's links in and one or two out: what was told was decided when the pull began. After a loss of power or of the core links of 2 to 4 Mbit/s were full of doubles for a second.

Now only the first working core is waited for; the second and the sibling are asked every 0.7 s in the zone, 1.4 s outside, with the vector of that moment. Cores ask edges the same way, since edges hear no servers. If the first fails the next takes its part.

--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -12,6 +12,8 @@
 namespace {
 constexpr Span kHangNear = std::chrono::milliseconds(1000);
 constexpr Span kHangFar = std::chrono::milliseconds(2000);  // bytes between zones are dear
+constexpr Span kLazyNear = std::chrono::milliseconds(700);
+constexpr Span kLazyFar = std::chrono::milliseconds(1400);
 constexpr Span kAnswerSlack = std::chrono::milliseconds(600);
 constexpr Span kTogether = std::chrono::milliseconds(10);
 constexpr Span kRetryAfter = std::chrono::milliseconds(700);
@@ -77,6 +79,7 @@
   }
   std::set<NodeId> wanted;
   std::set<NodeId> back;  // these are asked to pull from here in turn
+  std::set<NodeId> lazy;  // these are there to be sure
   const auto known = cores();
   if (parts_.core) {
     // A new core is known to nobody yet: whoever it pulls from has to pull back.
@@ -87,26 +90,30 @@
     for (const auto& node : rendezvous(parts_.self, known, near)) {
       if (good >= kCoresPerSidecar) break;
       wanted.insert(node);
-      // One working core carries the news on; the second is there to hear from.
-      if (good == 0) back.insert(node);
+      // One working core carries the news, both ways; the second is there to be sure.
+      (good == 0 ? back : lazy).insert(node);
       if (working(node)) ++good;
     }
     for (const auto& node : rendezvous(parts_.self, sidecars, near)) {
       wanted.insert(node);
       back.insert(node);
+      lazy.insert(node);
       if (working(node)) break;
     }
     if (good == 0) wanted.insert(parts_.seeds().begin(), parts_.seeds().end());
   }
   // Whoever pulls from here is pulled back, so that its news gets out.
-  for (const auto& [node, at] : pulledFromHere_) {
-    if (now - at < kBackFor) wanted.insert(node);
+  for (const auto& [node, asked] : pulledFromHere_) {
+    if (now - asked.at >= kBackFor) continue;
+    if (wanted.insert(node).second && asked.lazy) lazy.insert(node);
   }
   wanted.erase(parts_.self);
   for (const auto& node : wanted) links_.try_emplace(node);
   for (auto& [node, link] : links_) {
     link.wanted = wanted.contains(node);
     link.back = back.contains(node);
+    const bool was = std::exchange(link.lazy, lazy.contains(node));
+    if (was && !link.lazy && link.failures == 0) link.retryAt = now;
   }
   std::erase_if(links_,
                 [](const auto& entry) { return !entry.second.wanted && !entry.second.busy; });
@@ -146,14 +153,14 @@
   const auto& book = parts_.guestbook;
   const auto facts = book.nodes().find(peer);
   const bool near = facts != book.nodes().end() && facts->second.zone == parts_.zone;
-  const Span hang = !link.met ? Span(0) : near ? kHangNear : kHangFar;
+  const Span hang = !link.met || link.lazy ? Span(0) : near ? kHangNear : kHangFar;
   json body = {{"f", parts_.self.str()},
                {"s", parts_.known().sequence},
                {"w", hang.count() / 1000},
                {"d", book.come().hash()},
                {"h", book.digest()}};
   if (parts_.known().config) body["t"] = parts_.known().config->id();
-  if (link.back) body["b"] = 1;
+  if (link.back) body["b"] = parts_.hears && !link.lazy ? 1 : 2;
   if (link.full) {
     body["a"] = 1;
     link.told.clear();
@@ -177,36 +184,45 @@
     link.mend = 0;
   }
   for (const auto& [source, count] : news) link.told.set(source, count);
-  parts_.world.post(peer, body, hang + kAnswerSlack, [this, peer](std::optional<json> answer) {
-    auto& l = links_[peer];
-    l.busy = false;
-    if (stopped_) return;
-    const bool first = !l.met;
-    if (first) {
-      firstMeetAt_ = Instant();
-      parts_.world.after(Span(0), [this] { tick(); });
-    }
-    l.met = l.met || answer.has_value();
-    if (!answer) {
-      ++l.failures;
-      l.full = true;
-      l.retryAt = parts_.world.now() + kRetryAfter;
-      choose();
-      return;
-    }
-    l.failures = 0;
-    pulled_ = true;
-    heard_[peer] = parts_.world.now();
-    currentAt_[peer] = heard_[peer];
-    try {
-      took(peer, *answer);
-    } catch (const std::exception&) {
-      l.retryAt = parts_.world.now() + kRetryAfter;
-      return;
-    }
-    if (first && onMet) onMet(peer);
-    if (links_[peer].wanted) pull(peer);
-  });
+  parts_.world.post(peer, body, hang + kAnswerSlack,
+                    [this, peer, near](std::optional<json> answer) {
+                      auto& l = links_[peer];
+                      l.busy = false;
+                      if (stopped_) return;
+                      const bool first = !l.met;
+                      if (first) {
+                        firstMeetAt_ = Instant();
+                        parts_.world.after(Span(0), [this] { tick(); });
+                      }
+                      l.met = l.met || answer.has_value();
+                      if (!answer) {
+                        ++l.failures;
+                        l.full = true;
+                        l.retryAt = parts_.world.now() + kRetryAfter;
+                        choose();
+                        return;
+                      }
+                      l.failures = 0;
+                      pulled_ = true;
+                      heard_[peer] = parts_.world.now();
+                      currentAt_[peer] = heard_[peer];
+                      try {
+                        took(peer, *answer);
+                      } catch (const std::exception&) {
+                        l.retryAt = parts_.world.now() + kRetryAfter;
+                        return;
+                      }
+                      if (first && onMet) onMet(peer);
+                      auto& again = links_[peer];
+                      if (!again.wanted) return;
+                      // A peer that wants the whole vector, or where the books differ, is asked
+                      // again at once.
+                      if (again.lazy && !again.full && again.mend == 0) {
+                        again.retryAt = parts_.world.now() + (near ? kLazyNear : kLazyFar);
+                      } else {
+                        pull(peer);
+                      }
+                    });
 }
 
 void Roster::took(const NodeId& peer, const json& answer) {
@@ -257,8 +273,8 @@
   const Instant now = parts_.world.now();
   const bool asked = pull.contains("b");
   const bool firstTime =
-      asked && (!pulledFromHere_.contains(from) || now - pulledFromHere_[from] > kBackFor);
-  if (asked) pulledFromHere_[from] = now;
+      asked && (!pulledFromHere_.contains(from) || now - pulledFromHere_[from].at > kBackFor);
+  if (asked) pulledFromHere_[from] = {now, pull.at("b").get<int>() > 1};
   heard_[from] = now;
   auto& told = told_[from];
   if (pull.contains("a")) told.clear();
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -46,7 +46,8 @@
     std::function<void(const cairn::Value&)> learn;
     std::function<void()> changed;  // pages have changed
     bool core = false;
-    Span pace{};  // news on one link is gathered for so long: small machines need it
+    bool hears = true;  // servers tell this node of themselves: its news is waited for
+    Span pace{};        // news on one link is gathered for so long: small machines need it
   };
   explicit Roster(Parts parts) : parts_(std::move(parts)) {}
 
@@ -77,6 +78,7 @@
     bool busy = false;
     bool wanted = true;
     bool back = false;  // the peer is asked to pull from here too
+    bool lazy = false;  // asked now and then for what has not come by others
     bool full = true;   // the peer doesn't know how far this node has come
     bool met = false;   // it has answered once
     int failures = 0;
@@ -105,7 +107,11 @@
 
   Parts parts_;
   std::map<NodeId, Link> links_;
-  std::map<NodeId, Instant> pulledFromHere_;
+  struct Asked {
+    Instant at;
+    bool lazy = false;
+  };
+  std::map<NodeId, Asked> pulledFromHere_;  // who asked to be pulled from
   std::map<NodeId, Instant> heard_;
   std::map<NodeId, Instant> currentAt_;
   std::map<NodeId, Hanging> hanging_;
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -94,7 +94,7 @@
       [this](std::uint64_t has) -> const std::string& { return council_->knownFor(has); },
       [this](const json& j) { return cairn::valueFrom(j, &council_->shelf()); },
       [this](const Value& value) { council_->learn(value); }, [this] { fleetChanged(); }, core_,
-      pace});
+      settings_.frontend.empty(), pace});
   roster_->onTold = [this] { checkHeld(); };
   office_ = std::make_unique<Office>(Office::Parts{
       bell_, *council_, guestbook_,
--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -109,7 +109,7 @@
         },
         [](const json& j) { return cairn::valueFrom(j); },
         [this, &post](const Value& value) { learn(post, value); }, [] {}, post.core,
-        fromMillis(number(s_, "pace", 10))});
+        number(s_, "edges", 0) == 0, fromMillis(number(s_, "pace", 10))});
     if (!post.core) return;
     // As a restarted node does: what others may know already can wait.
     post.book->trickle(clock_.now() + fromMillis(post.life > 1 ? 1500 : 0));
