--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -33,7 +33,6 @@
 constexpr Span kCurrent = std::chrono::milliseconds(2700);  // the longest hang and a little
 constexpr Span kForeignEvery = std::chrono::seconds(10);
 constexpr Span kSweep = std::chrono::seconds(10);
-constexpr std::size_t kWordsATick = 4;                        // of those that can wait
 constexpr Span kBookComes = std::chrono::milliseconds(1500);  // from neighbours, after a start
 constexpr double kPaceMs = 8;  // between two answers with news on one link, on a whole core
 constexpr double kPaceMostMs = 250;
