--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -137,7 +137,10 @@
     }
   }
   // Luck may leave an edge with few or none: it adds some in its own order.
-  const auto least = static_cast<std::size_t>(std::max(1.0, mean * kLeastPart));
+  // One whose zone has no server of the service lives by the others' and takes as many of them.
+  const bool alone = crowds[parts_.zone].servers == 0;
+  const auto least =
+      alone ? kSubset.near : static_cast<std::size_t>(std::max(1.0, mean * kLeastPart));
   if (out.size() >= least) return out;
   const auto missing = std::min(others.size(), least - out.size());
   std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(missing),
--- a/tests/world_range.cpp
+++ b/tests/world_range.cpp
@@ -51,6 +51,7 @@
     out["moved"] = static_cast<double>(moved) / static_cast<double>(before.size());
     ill(out);
     slow();
+    alone();
     // The edges shrink to a few: they still find servers.
     edges_.resize(2);
     fleet();
@@ -150,6 +151,19 @@
     require(list(edge).size() == all, "servers that are well again are not taken back");
   }
 
+  // An edge of a zone without servers takes those of the others.
+  void alone() {
+    addEdge(0);
+    auto& edge = *edges_.back();
+    edge.zone = ZoneName("elsewhere");
+    edge.range =
+        std::make_unique<Range>(Range::Parts{book_, direct_, edge.loads, edge.id, edge.zone, true,
+                                             [this](const ServiceName&) { return most_; }},
+                                clock_.random());
+    fleet();
+    require(list(edge).size() >= 8, "an edge without servers in its zone draws from too few");
+  }
+
   // Where an edge's requests stay for long, others' do too: it counts as busier, for a while.
   void slow() {
     auto& edge = *edges_[0];
