--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -122,8 +122,7 @@
 void Roster::tick() {
   if (stopped_) return;
   const Instant now = parts_.world.now();
-  if (chosenFor_ != parts_.guestbook.nodeChanges() || chosenAt_ == Instant() ||
-      now - chosenAt_ > kChooseEvery) {
+  if (chosenFor_ != parts_.guestbook.nodeChanges() || now - chosenAt_ > kChooseEvery) {
     chosenFor_ = parts_.guestbook.nodeChanges();
     chosenAt_ = now;
     choose();
@@ -184,45 +183,47 @@
     link.mend = 0;
   }
   for (const auto& [source, count] : news) link.told.set(source, count);
-  parts_.world.post(peer, body, hang + kAnswerSlack,
-                    [this, peer, near](std::optional<json> answer) {
-                      auto& l = links_[peer];
-                      l.busy = false;
-                      if (stopped_) return;
-                      const bool first = !l.met;
-                      if (first) {
-                        firstMeetAt_ = Instant();
-                        parts_.world.after(Span(0), [this] { tick(); });
-                      }
-                      l.met = l.met || answer.has_value();
-                      if (!answer) {
-                        ++l.failures;
-                        l.full = true;
-                        l.retryAt = parts_.world.now() + kRetryAfter;
-                        choose();
-                        return;
-                      }
-                      l.failures = 0;
-                      pulled_ = true;
-                      heard_[peer] = parts_.world.now();
-                      currentAt_[peer] = heard_[peer];
-                      try {
-                        took(peer, *answer);
-                      } catch (const std::exception&) {
-                        l.retryAt = parts_.world.now() + kRetryAfter;
-                        return;
-                      }
-                      if (first && onMet) onMet(peer);
-                      auto& again = links_[peer];
-                      if (!again.wanted) return;
-                      // A peer that wants the whole vector, or where the books differ, is asked
-                      // again at once.
-                      if (again.lazy && !again.full && again.mend == 0) {
-                        again.retryAt = parts_.world.now() + (near ? kLazyNear : kLazyFar);
-                      } else {
-                        pull(peer);
-                      }
-                    });
+  parts_.world.post(
+      peer, body, hang + kAnswerSlack,
+      [this, peer, near](const std::optional<json>& answer) { answered(peer, near, answer); });
+}
+
+void Roster::answered(const NodeId& peer, bool near, const std::optional<json>& answer) {
+  auto& l = links_[peer];
+  l.busy = false;
+  if (stopped_) return;
+  const bool first = !l.met;
+  if (first) {
+    firstMeetAt_ = Instant();
+    parts_.world.after(Span(0), [this] { tick(); });
+  }
+  l.met = l.met || answer.has_value();
+  if (!answer) {
+    ++l.failures;
+    l.full = true;
+    l.retryAt = parts_.world.now() + kRetryAfter;
+    choose();
+    return;
+  }
+  l.failures = 0;
+  pulled_ = true;
+  heard_[peer] = parts_.world.now();
+  currentAt_[peer] = heard_[peer];
+  try {
+    took(peer, *answer);
+  } catch (const std::exception&) {
+    l.retryAt = parts_.world.now() + kRetryAfter;
+    return;
+  }
+  if (first && onMet) onMet(peer);
+  auto& again = links_[peer];
+  if (!again.wanted) return;
+  // A peer that wants the whole vector, or where the books differ, is asked again at once.
+  if (again.lazy && !again.full && again.mend == 0) {
+    again.retryAt = parts_.world.now() + (near ? kLazyNear : kLazyFar);
+  } else {
+    pull(peer);
+  }
 }
 
 void Roster::took(const NodeId& peer, const json& answer) {
@@ -295,7 +296,7 @@
     news();
   }
   if (firstTime) {
-    chosenAt_ = Instant();
+    chosenFor_ = 0;  // the links are chosen anew
     parts_.world.after(Span(0), [this] { tick(); });
   }
   if (pull.contains("m")) {
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -97,6 +97,7 @@
   void choose();
   [[nodiscard]] Span pace() const;
   void pull(const NodeId& peer);
+  void answered(const NodeId& peer, bool near, const std::optional<nlohmann::json>& answer);
   void took(const NodeId& peer, const nlohmann::json& answer);
   void tellNews();
   void answer(const NodeId& to, const Hanging& hanging, bool timeUp);
--- a/src/request/range.cpp
+++ b/src/request/range.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace merlin::trail {
@@ -124,17 +125,13 @@
     mean += static_cast<double>((own ? share.near : share.far) * near.servers) / edges;
   }
   std::vector<Drawn> out;
-  std::vector<std::tuple<bool, std::uint64_t, Drawn>> others;
+  std::vector<Drawn> others;
   for (const auto& server : servers) {
     const auto& share = shares[server.zone];
     const bool near = server.zone == parts_.zone;
     // Edges of other zones come only while those of its own have filled theirs.
     const Drawn one{&server, share.connections, share.near - (near && share.near > 0 ? 1 : 0)};
-    if (rank(server) < (near ? share.near : share.far)) {
-      out.push_back(one);
-    } else {
-      others.emplace_back(near, mixHash(parts_.self.str() + ">" + server.id.str()), one);
-    }
+    (rank(server) < (near ? share.near : share.far) ? out : others).push_back(one);
   }
   // Luck may leave an edge with few or none: it adds some in its own order.
   // One whose zone has no server of the service lives by the others' and takes as many of them.
@@ -142,13 +139,16 @@
   const auto least =
       alone ? kSubset.near : static_cast<std::size_t>(std::max(1.0, mean * kLeastPart));
   if (out.size() >= least) return out;
-  const auto missing = std::min(others.size(), least - out.size());
-  std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(missing),
-                    others.end(), [](const auto& a, const auto& b) {
-                      return std::tie(std::get<0>(a), std::get<1>(a)) >
-                             std::tie(std::get<0>(b), std::get<1>(b));
-                    });
-  for (std::size_t i = 0; i < missing; ++i) out.push_back(std::get<2>(others[i]));
+  std::vector<std::tuple<bool, std::uint64_t, std::size_t>> order;
+  for (std::size_t i = 0; i < others.size(); ++i) {
+    const auto& server = *others[i].server;
+    order.emplace_back(server.zone == parts_.zone,
+                       mixHash(parts_.self.str() + ">" + server.id.str()), i);
+  }
+  const auto missing = std::min(order.size(), least - out.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(missing),
+                    order.end(), std::greater<>());
+  for (std::size_t i = 0; i < missing; ++i) out.push_back(others[std::get<2>(order[i])]);
   return out;
 }
 
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -27,6 +27,11 @@
          a.service == b.service;
 }
 
+// Orders a keeper's word on the same beat behind what was said of it before.
+std::uint32_t editAfter(const Server& was, const Server& word) {
+  return word.sequence == was.sequence ? was.edit + 1 : 0;
+}
+
 bool closed(const Server& s) { return s.status == Server::Status::gone || s.silent; }
 
 // Ended servers don't count: each node forgets them in its own time.
@@ -206,7 +211,7 @@
     const auto& was = held->server;
     word.status = std::max(word.status, was.status);
     word.ill = was.keeper == self_ ? was.ill : 0;
-    word.edit = word.sequence == was.sequence ? was.edit + 1 : 0;
+    word.edit = editAfter(was, word);
   }
   write(word, now);
   return Beat::news;
@@ -231,14 +236,13 @@
       const auto& was = it->second.server;
       // Whatever has been said since stands: the server's next beat will be weighed against it.
       const bool stands = was.silent || !sameSaid(was, word) || was.keeper == self_;
-      if (!stands && moved >= most) continue;
       if (stands) {
         waiting_.erase(here);
         continue;
       }
-      ++moved;
+      if (moved++ >= most) continue;
       word.sequence = std::max(word.sequence, was.sequence);
-      word.edit = word.sequence == was.sequence ? was.edit + 1 : 0;
+      word.edit = editAfter(was, word);
     }
     // One that nobody knew of is news, and goes out at once.
     write(word, now);
