Newcomers ask which cores there are, and are told everything one at a time

Cause: at the start of 300 nodes all of them asked the three seeds for all they knew; each was told the whole book (75 KB) by a machine of 0.037 cores, too late to be read, and asked again. Cores other than the seeds got no answer for eight seconds, so the voters stayed three. - A node without a disk first asks a seed for the list of cores, after half a second and more where the whole system starts; then it goes to its own core. - A newcomer that asks for everything gets a turn: one in 3 ms of the machine's processor time. - First answers are waited for 2 s; a link that failed is asked briefly, not with a long pull. Nothing walks the fleet any more with each tick: cores, peers and the egress's fleet are worked out when a node changes, what ended is swept once a second. Vectors are numbers by life, a few bytes each. Nodes that left are forgotten after three minutes. A core's node door is not bounded by 256.

--- a/src/connection/call.cpp
+++ b/src/connection/call.cpp
@@ -255,10 +255,16 @@
   list.push_back({rope, now + keep});
   if (!sweeping_) {
     sweeping_ = true;
-    bell_.after(std::chrono::seconds(2), [this] { sweep(); });
+    planSweep();
   }
 }
 
+void Ropes::planSweep() {
+  bell_.after(std::chrono::seconds(2), [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) sweep();
+  });
+}
+
 void Ropes::sweep() {
   const Instant now = bell_.now();
   for (auto it = kept_.begin(); it != kept_.end();) {
@@ -271,7 +277,7 @@
     it = list.empty() ? kept_.erase(it) : std::next(it);
   }
   sweeping_ = !kept_.empty();
-  if (sweeping_) bell_.after(std::chrono::seconds(2), [this] { sweep(); });
+  if (sweeping_) planSweep();
 }
 
 }  // namespace merlin::saddle
--- a/src/connection/call.hpp
+++ b/src/connection/call.hpp
@@ -105,12 +105,14 @@
   void put(const std::string& key, const Rope::Ptr& rope, int keepSeconds);
   Rope::Ptr take(const std::string& key, Span freshness);
   void sweep();
+  void planSweep();
 
   hut::Bell& bell_;
   Config config_;
   std::unordered_map<std::string, std::vector<Kept>> kept_;
   std::uint64_t dialled_ = 0;
   bool sweeping_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace merlin::saddle
--- a/src/process/cellar.cpp
+++ b/src/process/cellar.cpp
@@ -289,6 +289,7 @@
   // After a failed write nothing of it counts: the files are opened anew, as the seals say.
   if (rc != 0) return failed(mdb_strerror(rc));
   textHeld_ = id;
+  ++saves_;
   return true;
 }
 
--- a/src/process/cellar.hpp
+++ b/src/process/cellar.hpp
@@ -6,6 +6,7 @@
 // before LMDB opens, a meta page that no seal knows is replaced by the one that it was to follow.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -51,6 +52,8 @@
   // Runs after everything handed in before, without writing.
   void after(Done done);
   [[nodiscard]] std::size_t backlog();
+  // How often something was written and synced since the start.
+  [[nodiscard]] std::uint64_t saves() const { return saves_; }
   [[nodiscard]] const std::string& problem() const { return problem_; }
   // The write itself, on the calling thread; for `work` and for tests.
   bool write(const Record& record);
@@ -76,6 +79,7 @@
   unsigned dbi_ = 0;
   std::uint64_t textHeld_ = 0;  // the text that is on the disk
   std::uint64_t seals_ = 0;     // how many have been written
+  std::atomic<std::uint64_t> saves_{0};
   Found found_ = Found::nothing;
   std::string problem_;
   std::mutex lock_;
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -1,6 +1,7 @@
 #include "process/roster.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -19,11 +20,17 @@
 constexpr Span kRetryAfter = std::chrono::milliseconds(700);
 constexpr Span kBackFor = std::chrono::milliseconds(3500);
 constexpr std::size_t kCoresPerSidecar = 2;
+constexpr std::size_t kPeersKept = 8;  // one of them is pulled from, the first that answers
 constexpr Span kProbeLimit = std::chrono::milliseconds(900);
 constexpr Span kFirstAlone = std::chrono::milliseconds(400);
 constexpr double kLinksAtPace = 12;
 constexpr Span kChooseEvery = std::chrono::milliseconds(500);
 constexpr Span kForgetPuller = std::chrono::seconds(20);
+constexpr Span kMeetLimit = std::chrono::seconds(2);  // a small machine has much to tell
+constexpr Span kGreetLimit = std::chrono::milliseconds(1000);
+constexpr std::size_t kGreetMost = 4;  // then without: whoever is asked may be of an older version
+constexpr Span kReserved = std::chrono::seconds(2);
+constexpr Span kNoWait = std::chrono::milliseconds(5);
 }  // namespace
 
 std::vector<NodeId> rendezvous(const NodeId& self, const std::vector<NodeId>& all,
@@ -56,8 +63,12 @@
   const auto& known = parts_.known();
   all.insert(known.voters.begin(), known.voters.end());
   all.insert(known.before.begin(), known.before.end());
-  for (const auto& [node, facts] : parts_.guestbook.nodes()) {
-    if (facts.core && !facts.leaving) all.insert(node);
+  for (const auto& node : parts_.guestbook.cores()) {
+    if (!parts_.guestbook.nodes().at(node).leaving) all.insert(node);
+  }
+  for (const auto& [node, zone] : hinted_) {
+    // What the book says of them counts, once it says anything.
+    if (!parts_.guestbook.nodes().contains(node)) all.insert(node);
   }
   if (all.size() < kCoresPerSidecar) {
     all.insert(parts_.seeds().begin(), parts_.seeds().end());
@@ -65,18 +76,45 @@
   return {all.begin(), all.end()};
 }
 
+std::set<NodeId> Roster::near(const std::vector<NodeId>& nodes) const {
+  std::set<NodeId> out;
+  for (const auto& node : nodes) {
+    const auto it = parts_.guestbook.nodes().find(node);
+    const auto hint = hinted_.find(node);
+    const bool known = it != parts_.guestbook.nodes().end();
+    const bool same = known ? it->second.zone == parts_.zone
+                            : hint != hinted_.end() && hint->second == parts_.zone;
+    if (same) out.insert(node);
+  }
+  return out;
+}
+
+// The first few of the others of this node's kind, in its own order. The whole fleet is walked for
+// it: only when a node has come, gone or changed.
+const std::vector<NodeId>& Roster::peers() {
+  const auto& book = parts_.guestbook;
+  if (peersFor_ == book.nodeChanges()) return peers_;
+  peersFor_ = book.nodeChanges();
+  using Weighed = std::tuple<bool, std::uint64_t, const NodeId*>;
+  std::vector<Weighed> all;
+  const auto own = mixHash(parts_.self.str());
+  for (const auto& [node, facts] : book.nodes()) {
+    if (facts.core || facts.leaving || facts.silent || node == parts_.self) continue;
+    all.emplace_back(facts.zone == parts_.zone, mixHash(node.str(), own), &node);
+  }
+  const auto few = static_cast<std::ptrdiff_t>(std::min(kPeersKept, all.size()));
+  std::partial_sort(all.begin(), all.begin() + few, all.end(), std::greater<>());
+  peers_.clear();
+  for (auto it = all.begin(); it != all.begin() + few; ++it) peers_.push_back(*std::get<2>(*it));
+  return peers_;
+}
+
 void Roster::choose() {
   const Instant now = parts_.world.now();
   const auto working = [&](const NodeId& node) {
     const auto it = links_.find(node);
     return it == links_.end() || it->second.failures == 0;
   };
-  std::set<NodeId> near;
-  std::vector<NodeId> sidecars;
-  for (const auto& [node, facts] : parts_.guestbook.nodes()) {
-    if (facts.zone == parts_.zone) near.insert(node);
-    if (!facts.core && !facts.leaving && !facts.silent) sidecars.push_back(node);
-  }
   std::set<NodeId> wanted;
   std::set<NodeId> back;  // these are asked to pull from here in turn
   std::set<NodeId> lazy;  // these are there to be sure
@@ -87,14 +125,14 @@
     back.insert(known.begin(), known.end());
   } else {
     std::size_t good = 0;
-    for (const auto& node : rendezvous(parts_.self, known, near)) {
+    for (const auto& node : rendezvous(parts_.self, known, near(known))) {
       if (good >= kCoresPerSidecar) break;
       wanted.insert(node);
       // One working core carries the news, both ways; the second is there to be sure.
       (good == 0 ? back : lazy).insert(node);
       if (working(node)) ++good;
     }
-    for (const auto& node : rendezvous(parts_.self, sidecars, near)) {
+    for (const auto& node : peers()) {
       wanted.insert(node);
       back.insert(node);
       lazy.insert(node);
@@ -108,7 +146,7 @@
     if (wanted.insert(node).second && asked.lazy) lazy.insert(node);
   }
   wanted.erase(parts_.self);
-  for (const auto& node : wanted) links_.try_emplace(node);
+  for (const auto& node : wanted) links_.try_emplace(node, parts_.guestbook.lives());
   for (auto& [node, link] : links_) {
     link.wanted = wanted.contains(node);
     link.back = back.contains(node);
@@ -119,26 +157,99 @@
                 [](const auto& entry) { return !entry.second.wanted && !entry.second.busy; });
 }
 
+// What is kept of nodes that have other neighbours by now, or are gone.
+void Roster::forget(Instant now) {
+  std::erase_if(told_, [&](const auto& entry) {
+    const auto heard = heard_.find(entry.first);
+    return !hanging_.contains(entry.first) &&
+           (heard == heard_.end() || now - heard->second > kForgetPuller);
+  });
+  std::erase_if(answeredAt_, [&](const auto& entry) { return !told_.contains(entry.first); });
+  std::erase_if(pulledFromHere_,
+                [&](const auto& entry) { return now - entry.second.at > kForgetPuller; });
+  for (auto* times : {&heard_, &currentAt_}) {
+    std::erase_if(*times, [&](const auto& entry) {
+      return now - entry.second > kForgetPuller && !parts_.guestbook.nodes().contains(entry.first);
+    });
+  }
+}
+
+// Which cores there are is asked first, of one of those that everybody is told: were they asked for
+// all they know by the whole fleet, they would answer nobody in time, the other cores included.
+void Roster::greet() {
+  const Instant now = parts_.world.now();
+  if (greetAt_ == Instant()) greetAt_ = now + parts_.firstWait;
+  if (now < greetAt_) return;
+  const auto order = rendezvous(parts_.self, cores(), {});
+  if (order.empty() || greetings_ >= kGreetMost) {
+    greeted_ = true;
+    return;
+  }
+  greetAt_ = now + kGreetLimit + kRetryAfter;
+  const json body = {{"f", parts_.self.str()}, {"g", 1}};
+  parts_.world.post(order[greetings_++ % order.size()], body, kGreetLimit,
+                    [this](const std::optional<json>& answer) {
+                      if (!answer || stopped_) {
+                        greetAt_ = parts_.world.now();
+                        return;
+                      }
+                      try {
+                        greeted(*answer);
+                      } catch (const std::exception&) {
+                        greetAt_ = parts_.world.now();
+                      }
+                    });
+}
+
+void Roster::greeted(const json& answer) {
+  for (const auto& core : answer.at("c")) {
+    hinted_[NodeId(core.at(0).get<std::string>())] = ZoneName(core.at(1).get<std::string>());
+  }
+  greeted_ = true;
+  tick();
+}
+
+json Roster::coresTold() const {
+  json out = json::array();
+  for (const auto& node : parts_.guestbook.cores()) {
+    const auto& facts = parts_.guestbook.nodes().at(node);
+    if (!facts.leaving && !facts.silent) out.push_back({node.str(), facts.zone.str()});
+  }
+  return out;
+}
+
+// A newcomer is told everything, which a small machine can't do for many at once: each gets a turn.
+Span Roster::waitOf(const NodeId& newcomer) {
+  const Instant now = parts_.world.now();
+  std::erase_if(reserved_, [&](const auto& entry) { return now - entry.second > kReserved; });
+  const auto [it, fresh] = reserved_.try_emplace(newcomer, std::max(now, nextIn_));
+  if (fresh) nextIn_ = it->second + parts_.letIn;
+  const Span wait = it->second - now;
+  if (wait > kNoWait) return wait;
+  reserved_.erase(it);
+  return Span(0);
+}
+
 void Roster::tick() {
   if (stopped_) return;
+  if (!parts_.core && !greeted_) {
+    greet();
+    if (!greeted_) return;
+  }
   const Instant now = parts_.world.now();
   if (chosenFor_ != parts_.guestbook.nodeChanges() || now - chosenAt_ > kChooseEvery) {
     chosenFor_ = parts_.guestbook.nodeChanges();
     chosenAt_ = now;
     choose();
+    forget(now);
   }
-  std::erase_if(told_, [&](const auto& entry) {
-    const auto heard = heard_.find(entry.first);
-    return !hanging_.contains(entry.first) &&
-           (heard == heard_.end() || now - heard->second > kForgetPuller);
-  });
   std::vector<NodeId> due;
   for (const auto& [node, link] : links_) {
     if (link.wanted && !link.busy && link.retryAt <= now) due.push_back(node);
   }
   for (const auto& node : due) {
     // One new neighbour after the other: each then only sends what those before it lacked.
-    if (!links_[node].met) {
+    if (!links_.at(node).met) {
       if (firstMeetAt_ != Instant() && now - firstMeetAt_ < kFirstAlone) continue;
       firstMeetAt_ = now;
     }
@@ -147,12 +258,15 @@
 }
 
 void Roster::pull(const NodeId& peer) {
-  auto& link = links_[peer];
+  auto& link = links_.at(peer);
   link.busy = true;
   const auto& book = parts_.guestbook;
   const auto facts = book.nodes().find(peer);
   const bool near = facts != book.nodes().end() && facts->second.zone == parts_.zone;
-  const Span hang = !link.met || link.lazy ? Span(0) : near ? kHangNear : kHangFar;
+  // One that has failed is asked for a sign of life only: a long pull into a cut would still be
+  // waited for when the cut is over.
+  const bool brief = !link.met || link.lazy || link.failures > 0;
+  const Span hang = brief ? Span(0) : near ? kHangNear : kHangFar;
   json body = {{"f", parts_.self.str()},
                {"s", parts_.known().sequence},
                {"w", hang.count() / 1000},
@@ -160,6 +274,7 @@
                {"h", book.digest()}};
   if (parts_.known().config) body["t"] = parts_.known().config->id();
   if (link.back) body["b"] = parts_.hears && !link.lazy ? 1 : 2;
+  if (parts_.core) body["c"] = 1;
   if (link.full) {
     body["a"] = 1;
     link.told.clear();
@@ -168,12 +283,10 @@
   if (!news.empty()) body["v"] = cairn::toJson(news);
   // Lives struck from the vector since.
   json struck = json::array();
-  if (link.told.entries().size() + news.size() > book.come().entries().size()) {
-    for (const auto& [source, count] : link.told.entries()) {
-      if (book.come().of(source) == 0) struck.push_back(source.str());
-    }
-    for (const auto& source : struck) {
-      link.told.strike(cairn::SourceId(source.get<std::string>()));
+  if (link.told.size() + news.size() > book.come().size()) {
+    for (const auto& source : link.told.missingIn(book.come())) {
+      struck.push_back(source.str());
+      link.told.strike(source);
     }
   }
   if (!struck.empty()) body["x"] = std::move(struck);
@@ -184,12 +297,12 @@
   }
   for (const auto& [source, count] : news) link.told.set(source, count);
   parts_.world.post(
-      peer, body, hang + kAnswerSlack,
+      peer, body, link.met ? hang + kAnswerSlack : kMeetLimit,
       [this, peer, near](const std::optional<json>& answer) { answered(peer, near, answer); });
 }
 
 void Roster::answered(const NodeId& peer, bool near, const std::optional<json>& answer) {
-  auto& l = links_[peer];
+  auto& l = links_.at(peer);
   l.busy = false;
   if (stopped_) return;
   const bool first = !l.met;
@@ -197,6 +310,13 @@
     firstMeetAt_ = Instant();
     parts_.world.after(Span(0), [this] { tick(); });
   }
+  if (answer && answer->contains("l")) {
+    // Its turn comes later.
+    l.full = true;
+    l.failures = 0;
+    l.retryAt = parts_.world.now() + fromMillis(answer->at("l").get<double>());
+    return;
+  }
   l.met = l.met || answer.has_value();
   if (!answer) {
     ++l.failures;
@@ -216,7 +336,7 @@
     return;
   }
   if (first && onMet) onMet(peer);
-  auto& again = links_[peer];
+  auto& again = links_.at(peer);
   if (!again.wanted) return;
   // A peer that wants the whole vector, or where the books differ, is asked again at once.
   if (again.lazy && !again.full && again.mend == 0) {
@@ -234,7 +354,7 @@
     const auto come = answer.contains("v") ? cairn::vectorFrom(answer.at("v")) : cairn::Vector();
     fresh = book.merge(answer.value("i", json::array()), come, now);
   }
-  auto& link = links_[peer];
+  auto& link = links_.at(peer);
   link.full = answer.contains("q");
   if (answer.contains("r")) {
     const auto mine = book.ranges();
@@ -245,6 +365,7 @@
   }
   if (answer.contains("c")) parts_.learn(parts_.readValue(answer.at("c")));
   if (fresh) {
+    hinted_.clear();  // the book says it now
     parts_.changed();
     news();
   }
@@ -264,7 +385,18 @@
     answering("{}");
     return;
   }
+  if (pull.contains("g")) {
+    answering(json{{"c", coresTold()}}.dump());
+    return;
+  }
   const NodeId from(pull.at("f").get<std::string>());
+  if (pull.contains("a") && !pull.contains("c")) {
+    if (const Span wait = waitOf(from); wait > Span(0)) {
+      heard_[from] = parts_.world.now();
+      answering(json{{"l", wait.count() / 1000 + 1}}.dump());
+      return;
+    }
+  }
   Hanging hanging;
   hanging.answer = std::move(answering);
   hanging.sequence = pull.at("s").get<std::uint64_t>();
@@ -277,7 +409,7 @@
       asked && (!pulledFromHere_.contains(from) || now - pulledFromHere_[from].at > kBackFor);
   if (asked) pulledFromHere_[from] = {now, pull.at("b").get<int>() > 1};
   heard_[from] = now;
-  auto& told = told_[from];
+  auto& told = told_.try_emplace(from, parts_.guestbook.lives()).first->second;
   if (pull.contains("a")) told.clear();
   if (pull.contains("v")) {
     for (const auto& [source, count] : cairn::vectorFrom(pull.at("v"))) told.set(source, count);
@@ -345,7 +477,7 @@
 
 void Roster::answer(const NodeId& to, const Hanging& hanging, bool timeUp) {
   const auto& book = parts_.guestbook;
-  const auto& told = told_[to];
+  const auto& told = told_.try_emplace(to, book.lives()).first->second;
   std::string text = "{";
   const auto add = [&text](const char* name, const std::string& value) {
     text += (text.size() > 1 ? ",\"" : "\"") + std::string(name) + "\":" + value;
@@ -430,6 +562,15 @@
   return it == heard_.end() ? Instant() : it->second;
 }
 
+std::vector<NodeId> Roster::quietFor(Span span) const {
+  std::vector<NodeId> out;
+  const Instant now = parts_.world.now();
+  for (const auto& [node, at] : heard_) {
+    if (now - at > span) out.push_back(node);
+  }
+  return out;
+}
+
 bool Roster::heardWithin(const NodeId& node, Span span) const {
   const auto it = heard_.find(node);
   return it != heard_.end() && parts_.world.now() - it->second <= span;
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -48,6 +48,8 @@
     bool core = false;
     bool hears = true;  // servers tell this node of themselves: its news is waited for
     Span pace{};        // news on one link is gathered for so long: small machines need it
+    Span letIn{};       // one that knows nothing is told everything: one in so long
+    Span firstWait{};   // others find each other first
   };
   explicit Roster(Parts parts) : parts_(std::move(parts)) {}
 
@@ -62,10 +64,15 @@
   void probe(const NodeId& node, const std::function<void(bool)>& told);
   [[nodiscard]] bool heardWithin(const NodeId& node, Span span) const;
   [[nodiscard]] Instant lastHeard(const NodeId& node) const;
+  // Those that this node has heard, but not for so long.
+  [[nodiscard]] std::vector<NodeId> quietFor(Span span) const;
   [[nodiscard]] bool everPulled() const { return pulled_; }
   // Heard within `span` from a core node: what is known here is about that old at most.
   [[nodiscard]] bool currentWithin(Span span) const { return newsAge() <= span; }
   [[nodiscard]] Span newsAge() const;
+  // How many neighbours are pulled from, and how many pull from here and wait now.
+  [[nodiscard]] std::size_t pulling() const { return links_.size(); }
+  [[nodiscard]] std::size_t pulledFrom() const { return hanging_.size(); }
   // How many other core nodes are known to hold that word.
   [[nodiscard]] std::size_t holders(const cairn::Dot& dot) const;
   // Called whenever another node has told how far it has come.
@@ -75,6 +82,7 @@
 
  private:
   struct Link {
+    explicit Link(const std::shared_ptr<cairn::Lives>& lives) : told(lives) {}
     bool busy = false;
     bool wanted = true;
     bool back = false;  // the peer is asked to pull from here too
@@ -95,6 +103,13 @@
     Instant notBefore;
   };
   void choose();
+  void greet();
+  void greeted(const nlohmann::json& answer);
+  [[nodiscard]] nlohmann::json coresTold() const;
+  [[nodiscard]] Span waitOf(const NodeId& newcomer);
+  void forget(Instant now);
+  const std::vector<NodeId>& peers();
+  [[nodiscard]] std::set<NodeId> near(const std::vector<NodeId>& nodes) const;
   [[nodiscard]] Span pace() const;
   void pull(const NodeId& peer);
   void answered(const NodeId& peer, bool near, const std::optional<nlohmann::json>& answer);
@@ -118,9 +133,17 @@
   std::map<NodeId, Hanging> hanging_;
   std::map<NodeId, Instant> answeredAt_;  // when news last went to each puller
   std::map<NodeId, cairn::Tally> told_;   // how far each puller has come, as it says
-  std::uint64_t chosenFor_ = 0;           // the change of nodes that the links were last chosen for
+  std::vector<NodeId> peers_;
+  std::uint64_t peersFor_ = 0;
+  std::uint64_t chosenFor_ = 0;  // the change of nodes that the links were last chosen for
   Instant chosenAt_;
   Instant firstMeetAt_;  // the pull from one not met yet that is out
+  Instant greetAt_;      // a core is asked for the others, before anything else
+  std::size_t greetings_ = 0;
+  bool greeted_ = false;
+  std::map<NodeId, ZoneName> hinted_;   // cores that were told so
+  std::map<NodeId, Instant> reserved_;  // newcomers that were told when to come again
+  Instant nextIn_;                      // the next newcomer's turn
   bool newsPlanned_ = false;
   bool pulled_ = false;
   bool stopped_ = false;
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -36,6 +36,10 @@
 constexpr Span kBookComes = std::chrono::milliseconds(1500);  // from neighbours, after a start
 constexpr double kPaceMs = 8;  // between two answers with news on one link, on a whole core
 constexpr double kPaceMostMs = 250;
+constexpr double kLetInMs = 3;  // of processor time: one newcomer is told everything
+// At the very first start the cores find each other before everybody else comes.
+constexpr Span kFirstWait = std::chrono::milliseconds(500);
+constexpr Span kFirstSpread = std::chrono::milliseconds(1000);
 constexpr int kSilentPeerMs =
     700;  // no sign of its kernel for so long: the server's machine is gone
 constexpr std::size_t kControlBody = 8U << 20;
@@ -86,6 +90,13 @@
   };
   const auto pace =
       fromMillis(std::clamp(kPaceMs / std::max(settings_.processor, 0.001), 0.0, kPaceMostMs));
+  const auto letIn =
+      fromMillis(std::clamp(kLetInMs / std::max(settings_.processor, 0.001), 0.0, kPaceMostMs));
+  const bool waits = settings_.bootstrap && !core_;
+  const auto firstWait =
+      waits ? kFirstWait + Span(static_cast<std::int64_t>(
+                               seed_ % static_cast<std::uint64_t>(kFirstSpread.count())))
+            : Span(0);
   roster_ = std::make_unique<Roster>(Roster::Parts{
       std::move(world), settings_.self, settings_.zone,
       [this]() -> const std::vector<NodeId>& { return settings_.seeds; }, guestbook_,
@@ -93,7 +104,7 @@
       [this](std::uint64_t has) -> const std::string& { return council_->knownFor(has); },
       [this](const json& j) { return cairn::valueFrom(j, &council_->shelf()); },
       [this](const Value& value) { council_->learn(value); }, [this] { fleetChanged(); }, core_,
-      settings_.frontend.empty(), pace});
+      settings_.frontend.empty(), pace, letIn, firstWait});
   roster_->onTold = [this] { checkHeld(); };
   office_ = std::make_unique<Office>(Office::Parts{
       bell_, *council_, guestbook_,
@@ -175,7 +186,10 @@
   open(readyDoor_, settings_.readiness, 32, [this](const auto& v) { office_->visit(v); });
   open(controlDoor_, settings_.control, room / 3, [this](const auto& v) { office_->visit(v); });
   const SocketAddress inner(settings_.self.str(), settings_.internalPort);
-  open(nodeDoor_, inner.toString(), 256, [this](const auto& v) { serveNode(v); });
+  // Few pull from a sidecar or an edge. How many pull from a core while others are down, nobody
+  // can say beforehand.
+  open(nodeDoor_, inner.toString(), core_ ? std::max<std::size_t>(256, room / 2) : 256,
+       [this](const auto& v) { serveNode(v); });
   if (controlDoor_) controlDoor_->reception->limits.bodyBytes = kControlBody;
   nodeDoor_->reception->limits.bodyBytes = 2 * kControlBody;
   if (ingressDoor_) ingressDoor_->reception->limits.headBytes = 128 * 1024;
@@ -183,14 +197,17 @@
 
 void Warden::serveNode(const Visit::Ptr& visit) {
   whenWhole(visit, [this, visit](const std::string& body) {
+    wire_.served(body.size());
+    const auto reply = [this, visit](const std::string& text) {
+      wire_.answered(text.size());
+      visit->answer(200, "OK", text, "application/json");
+    };
     const auto document = json::parse(body, nullptr, false);
     const auto& path = visit->request.getURI();
     try {
       if (document.is_discarded()) throw std::runtime_error("no JSON");
       if (path == "/news") {
-        roster_->serve(document, [visit](const std::string& answer) {
-          visit->answer(200, "OK", answer, "application/json");
-        });
+        roster_->serve(document, reply);
         return;
       }
       if (path == "/register") {
@@ -198,10 +215,9 @@
         const bool fetch = ask.kind == cairn::Ask::Kind::fetch;
         const bool spare = ask.kind == cairn::Ask::Kind::prepare;
         const std::uint64_t has = fetch ? 0 : ask.text;
-        council_->ask(ask, [this, visit, has, spare](std::optional<cairn::Reply> reply) {
-          if (reply) {
-            visit->answer(200, "OK", toJson(*reply, has, &council_->shelf(), spare).dump(),
-                          "application/json");
+        council_->ask(ask, [this, visit, has, spare, reply](std::optional<cairn::Reply> said) {
+          if (said) {
+            reply(toJson(*said, has, &council_->shelf(), spare).dump());
           } else {
             visit->fail(ErrorKind::noMajority);
           }
@@ -282,8 +298,8 @@
   std::set<NodeId> live;
   std::set<NodeId> lost;
   bool arriving = false;  // more are about to be live: they are added together
-  for (const auto& [node, facts] : guestbook_.nodes()) {
-    if (!facts.core) continue;
+  for (const auto& node : guestbook_.cores()) {
+    const auto& facts = guestbook_.nodes().at(node);
     if (node == settings_.self) {
       live.insert(node);
       continue;
@@ -353,14 +369,20 @@
   if (ingress_ || settings_.controlPort == 0) return "";
   const auto word = guestbook_.find(id);
   if (word && !word->silent && word->keeper == settings_.self && !stopping_) return "";
+  const auto first = firstCore(id);
+  if (first.empty() || first == settings_.self) return "";
+  if (word && word->keeper == first) return "";
+  return first.str() + ":" + std::to_string(settings_.controlPort);
+}
+
+// The live core that comes first in the order of an instance.
+NodeId Warden::firstCore(const InstanceId& id) const {
   std::vector<NodeId> cores;
-  for (const auto& [node, facts] : guestbook_.nodes()) {
-    if (facts.core && liveCore(node)) cores.push_back(node);
+  for (const auto& node : guestbook_.cores()) {
+    if (liveCore(node)) cores.push_back(node);
   }
   const auto order = rendezvous(NodeId(id.str()), cores, {});
-  if (order.empty() || order.front() == settings_.self) return "";
-  if (word && word->keeper == order.front()) return "";
-  return order.front().str() + ":" + std::to_string(settings_.controlPort);
+  return order.empty() ? NodeId() : order.front();
 }
 
 // The cores that a node pulls from watch it. What they find silent is told to all; a node that is
@@ -370,17 +392,15 @@
   if (stopping_) return;
   const Instant now = bell_.now();
   bool changed = false;
-  std::vector<NodeId> quiet;
-  for (const auto& [node, facts] : guestbook_.nodes()) {
-    if (node == settings_.self || facts.silent || facts.leaving) continue;
-    const Instant heard = roster_->lastHeard(node);
-    if (heard == Instant() || now - heard <= kNodeSilent) {
-      suspected_.erase(node);
-    } else if (suspected_.insert(node).second) {
-      quiet.push_back(node);
-    }
+  std::set<NodeId> suspected;
+  for (const auto& node : roster_->quietFor(kNodeSilent)) {
+    const auto it = guestbook_.nodes().find(node);
+    if (it == guestbook_.nodes().end() || it->second.silent || it->second.leaving) continue;
+    suspected.insert(node);
   }
-  for (const auto& node : quiet) {
+  suspected.swap(suspected_);
+  for (const auto& node : suspected_) {
+    if (suspected.contains(node)) continue;  // asked already
     roster_->probe(node, [this, node](bool there) {
       if (there || stopping_ || !guestbook_.nodeSilent(node)) return;
       logOf("hut").information("node " + node.str() + " is silent");
@@ -390,12 +410,7 @@
   }
   const Span silent = fromSeconds(toSeconds(settings_.heartbeat) * kSilentBeats);
   changed = guestbook_.orphans(now, silent, [this](const InstanceId& id) {
-    std::vector<NodeId> cores;
-    for (const auto& [node, facts] : guestbook_.nodes()) {
-      if (facts.core && liveCore(node)) cores.push_back(node);
-    }
-    const auto order = rendezvous(NodeId(id.str()), cores, {});
-    return !order.empty() && order.front() == settings_.self;
+    return firstCore(id) == settings_.self;
   }) || changed;
   if (changed) {
     fleetChanged();
@@ -404,7 +419,8 @@
 }
 
 void Warden::fleetChanged() {
-  if (!egress_) return;
+  if (!egress_ || fleetOf_ == guestbook_.nodeChanges()) return;
+  fleetOf_ = guestbook_.nodeChanges();
   std::vector<trail::Drawer> nodes;
   std::size_t ever = 0;
   for (const auto& [node, facts] : guestbook_.nodes()) {
@@ -415,6 +431,20 @@
   egress_->setFleet(std::move(nodes), ever);
 }
 
+json Warden::controlCounts() const {
+  const auto& t = wire_.traffic();
+  json out = {{"asked", t.asked},
+              {"asked_bytes", t.askedBytes},
+              {"told_bytes", t.toldBytes},
+              {"served", t.served},
+              {"served_bytes", t.servedBytes},
+              {"answered_bytes", t.answeredBytes},
+              {"pulling", roster_->pulling()},
+              {"pulled_from", roster_->pulledFrom()}};
+  if (cellar_) out["syncs"] = cellar_->saves();
+  return out;
+}
+
 json Warden::status() {
   static const char* const kStatus[] = {"available", "draining", "gone"};
   const Instant now = bell_.now();
@@ -451,6 +481,7 @@
               {"votes", council_->voter() && council_->awake()},
               {"disk_trouble", council_->diskTrouble()},
               {"news_age_ms", roster_->newsAge().count() / 1000},
+              {"control", controlCounts()},
               {"nodes", std::move(nodes)},
               {"servers", std::move(servers)}};
   if (egress_) {
--- a/src/process/warden.hpp
+++ b/src/process/warden.hpp
@@ -41,6 +41,7 @@
   void whenHeld(const InstanceId& id, std::function<void(bool)> done);
   void checkHeld();
   [[nodiscard]] std::string beatTarget(const InstanceId& id) const;
+  [[nodiscard]] NodeId firstCore(const InstanceId& id) const;
   [[nodiscard]] bool liveCore(const NodeId& node) const;
   void watchNodes();
   void fleetChanged();
@@ -49,6 +50,7 @@
   void applyLimits();
   [[nodiscard]] bool ready() const;
   nlohmann::json status();
+  [[nodiscard]] nlohmann::json controlCounts() const;
 
   Bell& bell_;
   Settings settings_;
@@ -80,6 +82,7 @@
   };
   std::vector<Wait> waits_;
   std::set<NodeId> suspected_;  // found silent from here, and not heard since
+  std::uint64_t fleetOf_ = 0;   // the change of nodes that the egress has been told of
   Instant sweepAt_;
   Instant startedAt_;
   Instant foreignAt_;  // when a foreign message was last logged
--- a/src/process/wire.cpp
+++ b/src/process/wire.cpp
@@ -33,7 +33,10 @@
 };
 
 Wire::~Wire() {
-  for (auto& [id, pending] : pending_) pending->call->cancel();
+  for (auto& [id, pending] : pending_) {
+    bell_.cancel(pending->timer);
+    pending->call->cancel();
+  }
 }
 
 void Wire::finish(std::uint64_t id, bool ok) {
@@ -86,11 +89,15 @@
   const Poco::Net::SocketAddress address(to.str(), port_);
   HTTPRequest request(HTTPRequest::HTTP_POST, path, HTTPMessage::HTTP_1_1);
   request.set("Host", to.str());
-  pass(address, request, body.dump(), limit, [answer = std::move(answer)](std::optional<Raw> raw) {
+  const auto text = body.dump();
+  ++traffic_.asked;
+  traffic_.askedBytes += text.size();
+  pass(address, request, text, limit, [this, answer = std::move(answer)](std::optional<Raw> raw) {
     if (!raw || raw->status != 200) {
       answer(std::nullopt);
       return;
     }
+    traffic_.toldBytes += raw->body.size();
     auto parsed = json::parse(raw->body, nullptr, false);
     answer(parsed.is_discarded() ? std::nullopt : std::make_optional(std::move(parsed)));
   });
--- a/src/process/wire.hpp
+++ b/src/process/wire.hpp
@@ -16,6 +16,16 @@
 
 namespace merlin::hut {
 
+// What this node has said to other nodes and heard from them, without heads.
+struct Traffic {
+  std::uint64_t asked = 0;  // calls of its own, and bytes either way
+  std::uint64_t askedBytes = 0;
+  std::uint64_t toldBytes = 0;
+  std::uint64_t served = 0;  // calls of others
+  std::uint64_t servedBytes = 0;
+  std::uint64_t answeredBytes = 0;
+};
+
 class Wire {
  public:
   using Answer = std::function<void(std::optional<nlohmann::json>)>;
@@ -34,6 +44,13 @@
   };
   void pass(const Poco::Net::SocketAddress& to, const Poco::Net::HTTPRequest& request,
             const std::string& body, Span limit, std::function<void(std::optional<Raw>)> answer);
+  // A call of another node's, and what it was answered.
+  void served(std::size_t bytes) {
+    ++traffic_.served;
+    traffic_.servedBytes += bytes;
+  }
+  void answered(std::size_t bytes) { traffic_.answeredBytes += bytes; }
+  [[nodiscard]] const Traffic& traffic() const { return traffic_; }
 
  private:
   struct Pending;
@@ -43,6 +60,7 @@
   saddle::Ropes ropes_;
   std::map<std::uint64_t, std::shared_ptr<Pending>> pending_;
   std::uint64_t lastId_ = 0;
+  Traffic traffic_;
 };
 
 // Collects the whole body of a visit, then calls `then`.
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t kFewWords = 4;    // at least so many of those that waited go out at a time,
 constexpr std::size_t kWordsPart = 16;  // and this part of them
 constexpr Span kForgetStream = std::chrono::seconds(180);
+constexpr Span kSweepEvery = std::chrono::seconds(1);
 
 SourceId sourceOf(const NodeId& node, Life life) {
   return SourceId(node.str() + "/" + std::to_string(life.value));
@@ -32,6 +33,8 @@
   return word.sequence == was.sequence ? was.edit + 1 : 0;
 }
 
+bool down(const NodeFacts& f) { return f.leaving || f.silent; }
+
 bool closed(const Server& s) { return s.status == Server::Status::gone || s.silent; }
 
 // Ended servers don't count: each node forgets them in its own time.
@@ -40,9 +43,9 @@
   return mixHash(s.id.str(), s.sequence * 64 + s.edit * 4 + static_cast<std::uint64_t>(s.status));
 }
 
+// Nor do nodes that have left.
 std::uint64_t hashOf(const NodeFacts& f) {
-  return mixHash(f.id.str(),
-                 f.incarnation * 4 + (f.leaving ? 2ULL : 0ULL) + (f.silent ? 1ULL : 0ULL));
+  return down(f) ? 0 : mixHash(f.id.str(), f.incarnation * 4);
 }
 
 std::size_t rangeOf(const std::string& key) { return mixHash(key) % Guestbook::kRanges; }
@@ -73,27 +76,72 @@
 }
 }  // namespace
 
-void Tally::set(const SourceId& source, std::uint64_t count) {
-  auto& held = entries_[source];
-  hash_ ^= hashOf(source, held) ^ hashOf(source, count);
-  held = count;
+std::optional<std::uint32_t> Lives::find(const SourceId& source) const {
+  const auto it = numbers_.find(source);
+  return it == numbers_.end() ? std::nullopt : std::make_optional(it->second);
 }
 
-void Tally::strike(const SourceId& source) {
-  const auto it = entries_.find(source);
-  if (it == entries_.end()) return;
-  hash_ ^= hashOf(source, it->second);
-  entries_.erase(it);
+std::uint32_t Lives::take(const SourceId& source) {
+  const auto [it, fresh] = numbers_.try_emplace(source, 0);
+  if (fresh && free_.empty()) {
+    it->second = static_cast<std::uint32_t>(rows_.size());
+    rows_.push_back({source, 0});
+  } else if (fresh) {
+    it->second = free_.back();
+    free_.pop_back();
+    rows_[it->second].name = source;
+  }
+  ++rows_[it->second].holders;
+  return it->second;
+}
+
+void Lives::release(std::size_t number) {
+  auto& row = rows_[number];
+  if (--row.holders > 0) return;
+  numbers_.erase(row.name);
+  row.name = SourceId();
+  free_.push_back(static_cast<std::uint32_t>(number));
+}
+
+void Tally::set(const SourceId& source, std::uint64_t count) {
+  const std::uint64_t had = of(source);
+  if (had == count) return;
+  hash_ ^= hashOf(source, had) ^ hashOf(source, count);
+  if (had == 0) {
+    const auto number = lives_->take(source);
+    if (counts_.size() <= number) counts_.resize(number + 1, 0);
+    counts_[number] = count;
+    ++size_;
+    return;
+  }
+  const auto number = *lives_->find(source);
+  counts_[number] = count;
+  if (count > 0) return;
+  --size_;
+  lives_->release(number);
 }
 
 void Tally::clear() {
-  entries_.clear();
+  for (std::size_t i = 0; i < counts_.size(); ++i) {
+    if (counts_[i] > 0) lives_->release(i);
+  }
+  counts_.clear();
+  size_ = 0;
   hash_ = 0;
 }
 
 std::uint64_t Tally::of(const SourceId& source) const {
-  const auto it = entries_.find(source);
-  return it == entries_.end() ? 0 : it->second;
+  const auto number = lives_->find(source);
+  return number && *number < counts_.size() ? counts_[*number] : 0;
+}
+
+std::vector<SourceId> Tally::missingIn(const Tally& other) const {
+  std::vector<SourceId> out;
+  for (std::size_t i = 0; i < counts_.size(); ++i) {
+    const bool there = i < other.counts_.size() && other.counts_[i] > 0;
+    if (counts_[i] > 0 && !there) out.push_back(lives_->name(i));
+  }
+  return out;
 }
 
 json toJson(const Vector& vector) {
@@ -166,10 +214,11 @@
   ++nodeChanges_;
   nodeTexts_.erase(facts.id);
   facts_[facts.id] = facts;
+  if (facts.core) cores_.insert(facts.id);
   nodeDots_[facts.id] = dot;
   digest_ ^= hashOf(facts);
   streams_[dot.source].items[dot.count] = Key{true, facts.id.str()};
-  if (facts.silent || facts.leaving) {
+  if (down(facts)) {
     downSince_.try_emplace(facts.id, lastNow_);
   } else {
     downSince_.erase(facts.id);
@@ -186,6 +235,20 @@
   servers_.erase(it);
 }
 
+void Guestbook::eraseNode(const NodeId& id) {
+  const auto it = facts_.find(id);
+  if (it == facts_.end()) return;
+  digest_ ^= hashOf(it->second);
+  const auto& dot = nodeDots_.at(id);
+  streams_[dot.source].items.erase(dot.count);
+  facts_.erase(it);
+  nodeDots_.erase(id);
+  nodeTexts_.erase(id);
+  cores_.erase(id);
+  downSince_.erase(id);
+  ++nodeChanges_;
+}
+
 Guestbook::Beat Guestbook::beat(const Server& server, Instant now) {
   lastNow_ = now;
   auto [heard, first] = heard_.try_emplace(server.id);
@@ -317,6 +380,15 @@
     const auto held = find(id);
     if (held && held->keeper == self_) changed = silence(id, now) || changed;
   }
+  if (now >= sweepAt_) {
+    sweepAt_ = now + kSweepEvery;
+    sweep(now, forget);
+  }
+  return changed;
+}
+
+// Walks all that is known: now and then, not with every tick.
+void Guestbook::sweep(Instant now, Span forget) {
   std::vector<InstanceId> old;
   for (const auto& [id, item] : servers_) {
     if (item.closedAt && now - *item.closedAt > forget) old.push_back(id);
@@ -325,6 +397,12 @@
     erase(id);
     heard_.erase(id);
   }
+  // A node that is down is forgotten once no older word of it can be under way.
+  std::vector<NodeId> gone;
+  for (const auto& [id, since] : downSince_) {
+    if (id != self_ && now - since > kForgetStream) gone.push_back(id);
+  }
+  for (const auto& id : gone) eraseNode(id);
   // Lives that are over and hold no word any more are struck from the vector.
   std::erase_if(streams_, [&](const auto& entry) {
     const auto& [source, stream] = entry;
@@ -334,7 +412,6 @@
     come_.strike(source);
     return true;
   });
-  return changed;
 }
 
 bool Guestbook::orphans(Instant now, Span silent,
@@ -477,6 +554,8 @@
     const bool stronger = strength(f) > strength(it->second) ||
                           (strength(f) == strength(it->second) && f.life > it->second.life);
     if (!stronger) return false;
+  } else if (down(f) && come_.of(dot.source) >= dot.count) {
+    return false;  // forgotten here
   }
   putNode(f, dot);
   return true;
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,29 +53,55 @@
 using SourceId = Name<struct SourceTag>;
 using Vector = std::map<SourceId, std::uint64_t>;
 
-// How far somebody has come, with a hash over it that is kept up as it changes.
+// The lives that the vectors of one node name, numbered. A number is given away again once no
+// vector has an entry of it, so that lives that are over leave no hole.
+class Lives {
+ public:
+  [[nodiscard]] std::optional<std::uint32_t> find(const SourceId& source) const;
+  [[nodiscard]] const SourceId& name(std::size_t number) const { return rows_[number].name; }
+  std::uint32_t take(const SourceId& source);  // one more vector has an entry of it
+  void release(std::size_t number);
+
+ private:
+  struct Row {
+    SourceId name;
+    std::size_t holders = 0;
+  };
+  std::unordered_map<SourceId, std::uint32_t> numbers_;
+  std::vector<Row> rows_;
+  std::vector<std::uint32_t> free_;
+};
+
+// How far somebody has come, with a hash over it that is kept up as it changes. A few bytes a life:
+// a core has one for each node that pulls from it, and compares them with its own at every pull.
 class Tally {
  public:
+  explicit Tally(std::shared_ptr<Lives> lives) : lives_(std::move(lives)) {}
+  ~Tally() { clear(); }
+  Tally(const Tally&) = delete;
+  Tally& operator=(const Tally&) = delete;
   void set(const SourceId& source, std::uint64_t count);
-  void strike(const SourceId& source);
+  void strike(const SourceId& source) { set(source, 0); }
   void clear();
-  [[nodiscard]] const Vector& entries() const { return entries_; }
+  [[nodiscard]] std::size_t size() const { return size_; }
   [[nodiscard]] std::uint64_t hash() const { return hash_; }
   [[nodiscard]] std::uint64_t of(const SourceId& source) const;
   // Calls `visit(source, theirs, mine)` for each entry of `ahead` that is above this one's.
   template <class Visit>
   void behind(const Tally& ahead, Visit visit) const {
     if (hash_ == ahead.hash_) return;
-    auto mine = entries_.begin();
-    for (const auto& [source, count] : ahead.entries_) {
-      while (mine != entries_.end() && mine->first < source) ++mine;
-      const std::uint64_t have = mine != entries_.end() && mine->first == source ? mine->second : 0;
-      if (have < count) visit(source, count, have);
+    for (std::size_t i = 0; i < ahead.counts_.size(); ++i) {
+      const std::uint64_t have = i < counts_.size() ? counts_[i] : 0;
+      if (have < ahead.counts_[i]) visit(lives_->name(i), ahead.counts_[i], have);
     }
   }
+  // Those that are there and not in `other`.
+  [[nodiscard]] std::vector<SourceId> missingIn(const Tally& other) const;
 
  private:
-  Vector entries_;
+  std::shared_ptr<Lives> lives_;  // of the one node that compares them
+  std::vector<std::uint64_t> counts_;
+  std::size_t size_ = 0;
   std::uint64_t hash_ = 0;
 };
 
@@ -131,9 +159,13 @@
   void drop(const InstanceId& id);
 
   [[nodiscard]] const Tally& come() const { return come_; }
+  // For vectors that are compared with this book's.
+  [[nodiscard]] const std::shared_ptr<Lives>& lives() const { return lives_; }
   // Over the items that still matter; equal digests mean equal books.
   [[nodiscard]] std::uint64_t digest() const { return digest_; }
   [[nodiscard]] const std::map<NodeId, NodeFacts>& nodes() const { return facts_; }
+  // Those of them that have a disk: few, however many nodes there are.
+  [[nodiscard]] const std::set<NodeId>& cores() const { return cores_; }
   [[nodiscard]] std::uint64_t nodeChanges() const { return nodeChanges_; }
   [[nodiscard]] const NodeFacts& self() const { return facts_.at(self_); }
   [[nodiscard]] std::optional<Server> find(const InstanceId& id) const;
@@ -171,6 +203,8 @@
   void putNode(const NodeFacts& facts, const Dot& dot);
   void write(const Server& server, Instant now) { put(server, newDot(), now); }
   void erase(const InstanceId& id);
+  void eraseNode(const NodeId& id);
+  void sweep(Instant now, Span forget);
   bool mergeServer(const nlohmann::json& j, Instant now);
   bool mergeNode(const nlohmann::json& j);
   void appendItem(const Key& key, Instant now, std::string& out) const;
@@ -182,6 +216,7 @@
   std::map<ServiceName, std::map<InstanceId, const Server*>> services_;
   std::map<ServiceName, std::uint64_t> changes_;
   std::map<NodeId, NodeFacts> facts_;
+  std::set<NodeId> cores_;
   std::map<NodeId, Dot> nodeDots_;
   mutable std::map<NodeId, std::string> nodeTexts_;
   std::map<NodeId, Instant> downSince_;  // silent or leaving nodes, as seen here
@@ -191,10 +226,12 @@
   Instant firstUntil_;
   std::map<InstanceId, Instant> expected_;  // an earlier life of this node heard them
   std::map<SourceId, Stream> streams_;
-  Tally come_;
+  std::shared_ptr<Lives> lives_ = std::make_shared<Lives>();
+  Tally come_{lives_};
   std::uint64_t digest_ = 0;
   std::uint64_t nodeChanges_ = 0;
   Instant lastNow_;
+  Instant sweepAt_;
 };
 
 }  // namespace merlin::cairn
--- a/tests/hosts.hpp
+++ b/tests/hosts.hpp
@@ -21,6 +21,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -183,6 +184,10 @@
     std::filesystem::remove_all(folder_);
   }
 
+  // Changes the settings of the nodes started from now on.
+  std::function<void(json&)> adjust;
+  [[nodiscard]] pid_t pidOf(const std::string& ip) const { return running_.at(ip); }
+
   enum class Kind { core, sidecar, edge };
   void start(const std::string& ip, Kind kind, bool first) {
     const bool core = kind == Kind::core;
@@ -223,6 +228,7 @@
       settings["self_node"]["app_address"] = at(ip, kApp);
       settings["self_node"]["target_service"] = ip == hosts_ + ".0.11" ? "front" : "echo";
     }
+    if (adjust) adjust(settings);
     const auto path = (folder_ / (ip + ".json")).string();
     std::ofstream(path) << settings.dump();
     const auto log = (folder_ / (ip + ".log")).string();
--- a/tests/world_news.cpp
+++ b/tests/world_news.cpp
@@ -1,5 +1,6 @@
 // News among many nodes: guestbooks and rosters on a simulated network. How long does a word take
 // to reach everybody, through kills, cuts and restarts, and at what cost in bytes between zones?
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -28,6 +29,7 @@
   std::unique_ptr<Guestbook> book;
   std::unique_ptr<Roster> roster;
   std::uint64_t lowest = 0;  // what it must not fall below within a life
+  Instant busyUntil;         // with messages that came before
   [[nodiscard]] bool up() const { return roster != nullptr; }
 };
 
@@ -67,6 +69,7 @@
     out["far_kb"] = farBytes_ / 1024;
     out["burst_kb"] = burst_;
     out["servers"] = static_cast<double>(posts_[0]->book->usable(ServiceName("svc")).size());
+    out["known_ms"] = knownAt_ > 0 ? knownAt_ : length;
     out["near_kb"] = nearBytes_ / 1024;
   }
 
@@ -109,7 +112,8 @@
         },
         [](const json& j) { return cairn::valueFrom(j); },
         [this, &post](const Value& value) { learn(post, value); }, [] {}, post.core,
-        number(s_, "edges", 0) == 0, fromMillis(number(s_, "pace", 10))});
+        number(s_, "edges", 0) == 0, fromMillis(number(s_, "pace", 10)),
+        fromMillis(number(s_, "let_in", 3)), Span(0)});
     if (!post.core) return;
     // As a restarted node does: what others may know already can wait.
     post.book->trickle(clock_.now() + fromMillis(post.life > 1 ? 1500 : 0));
@@ -156,7 +160,25 @@
     count(from, target, body.size() + 240);
     const double delay = clock_.uniform(0.2, 3);
     clock_.after(delay, [this, &from, &target, body, finish, delay] {
-      if (!linked(from.id, target.id)) return;
+      if (linked(from.id, target.id)) arrive(from, target, body, finish, delay);
+    });
+  }
+
+  // A small machine takes its time over each message, in the order in which they come.
+  void work(Post& post, std::size_t bytes, std::function<void()> then) {
+    const auto cost = fromMillis(number(s_, post.core ? "core_ms" : "node_ms", 0) *
+                                 (1 + static_cast<double>(bytes) / 32768));
+    if (cost <= Span(0)) {
+      then();
+      return;
+    }
+    post.busyUntil = std::max(clock_.now(), post.busyUntil) + cost;
+    clock_.at(post.busyUntil, std::move(then));
+  }
+
+  void arrive(Post& from, Post& target, const std::string& body,
+              const std::function<void(std::optional<json>)>& finish, double delay) {
+    work(target, body.size(), [this, &from, &target, body, finish, delay] {
       if (!target.up()) {
         clock_.after(delay, [finish] { finish(std::nullopt); });
         return;
@@ -164,8 +186,11 @@
       target.roster->serve(
           json::parse(body), [this, &from, &target, finish](const std::string& text) {
             count(target, from, text.size() + 200);
-            clock_.after(clock_.uniform(0.2, 3), [this, &from, &target, text, finish] {
-              if (linked(from.id, target.id)) finish(json::parse(text));
+            work(target, text.size(), [this, &from, &target, text, finish] {
+              clock_.after(clock_.uniform(0.2, 3), [this, &from, &target, text, finish] {
+                if (!linked(from.id, target.id)) return;
+                work(from, text.size(), [finish, text] { finish(json::parse(text)); });
+              });
             });
           });
     });
@@ -188,6 +213,11 @@
       post->roster->tick();
       if (post->core && post->book->settle(clock_.now())) post->roster->news();
     }
+    if (knownAt_ <= 0 && std::all_of(posts_.begin(), posts_.end(), [this](const auto& post) {
+          return post->up() && post->book->nodes().size() == posts_.size();
+        })) {
+      knownAt_ = clock_.ms();
+    }
     checkLeft();
     clock_.after(100, [this] { tick(); });
   }
@@ -341,6 +371,7 @@
   std::uint64_t words_ = 0;
   double newestAt_ = 0;
   std::map<InstanceId, double> left_;
+  double knownAt_ = 0;  // when everybody knew everybody
   double slowest_ = 0;
   double farBytes_ = 0;
   double nearBytes_ = 0;
