Only those who know little wait their turn; a word's second way is asked on time

A node that lost its way for a moment has nearly all and is told the rest at once; no turn is more than four seconds off. Processes of the plays end with the test, however it ends.

--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -30,6 +30,8 @@
 constexpr Span kGreetLimit = std::chrono::milliseconds(1000);
 constexpr std::size_t kGreetMost = 4;  // then without: whoever is asked may be of an older version
 constexpr Span kReserved = std::chrono::seconds(2);
+constexpr Span kLongestWait = std::chrono::seconds(4);
+constexpr std::size_t kFewLives = 16;
 constexpr Span kNoWait = std::chrono::milliseconds(5);
 }  // namespace
 
@@ -218,11 +220,23 @@
   return out;
 }
 
+// One that only lost its way here for a moment has nearly all, and is told the rest at once.
+bool Roster::knowsLittle(const json& pull) const {
+  cairn::Tally theirs(parts_.guestbook.lives());
+  if (pull.contains("v")) {
+    for (const auto& [source, count] : cairn::vectorFrom(pull.at("v"))) theirs.set(source, count);
+  }
+  std::size_t lacking = 0;
+  theirs.behind(parts_.guestbook.come(), [&](const auto&, auto, auto) { ++lacking; });
+  return lacking > kFewLives;
+}
+
 // A newcomer is told everything, which a small machine can't do for many at once: each gets a turn.
 Span Roster::waitOf(const NodeId& newcomer) {
   const Instant now = parts_.world.now();
   std::erase_if(reserved_, [&](const auto& entry) { return now - entry.second > kReserved; });
-  const auto [it, fresh] = reserved_.try_emplace(newcomer, std::max(now, nextIn_));
+  const Instant turn = std::min(std::max(now, nextIn_), now + kLongestWait);
+  const auto [it, fresh] = reserved_.try_emplace(newcomer, turn);
   if (fresh) nextIn_ = it->second + parts_.letIn;
   const Span wait = it->second - now;
   if (wait > kNoWait) return wait;
@@ -340,7 +354,9 @@
   if (!again.wanted) return;
   // A peer that wants the whole vector, or where the books differ, is asked again at once.
   if (again.lazy && !again.full && again.mend == 0) {
-    again.retryAt = parts_.world.now() + (near ? kLazyNear : kLazyFar);
+    const Span wait = near ? kLazyNear : kLazyFar;
+    again.retryAt = parts_.world.now() + wait;
+    parts_.world.after(wait, [this] { tick(); });
   } else {
     pull(peer);
   }
@@ -390,7 +406,7 @@
     return;
   }
   const NodeId from(pull.at("f").get<std::string>());
-  if (pull.contains("a") && !pull.contains("c")) {
+  if (pull.contains("a") && !pull.contains("c") && knowsLittle(pull)) {
     if (const Span wait = waitOf(from); wait > Span(0)) {
       heard_[from] = parts_.world.now();
       answering(json{{"l", wait.count() / 1000 + 1}}.dump());
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -106,6 +106,7 @@
   void greet();
   void greeted(const nlohmann::json& answer);
   [[nodiscard]] nlohmann::json coresTold() const;
+  [[nodiscard]] bool knowsLittle(const nlohmann::json& pull) const;
   [[nodiscard]] Span waitOf(const NodeId& newcomer);
   void forget(Instant now);
   const std::vector<NodeId>& peers();
--- a/tests/hosts.hpp
+++ b/tests/hosts.hpp
@@ -14,6 +14,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -234,6 +235,7 @@
     const auto log = (folder_ / (ip + ".log")).string();
     const pid_t pid = ::fork();
     if (pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // however the test ends, its nodes do too
       ::setenv("MERLINGAUGE_SETTINGS", path.c_str(), 1);
       if (std::freopen(log.c_str(), "a", stderr) == nullptr) ::_exit(126);
       ::execl(program_.c_str(), program_.c_str(), "node", nullptr);
--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -220,6 +220,7 @@
     if (::pipe2(in, O_CLOEXEC) != 0 || ::pipe2(out, O_CLOEXEC) != 0) throw Failure{"no pipe"};
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       ::dup2(in[0], 0);
       ::dup2(out[1], 1);
       std::vector<std::string> all = {self, "hollow", std::to_string(first), std::to_string(count)};
