A node that is stopped takes nothing at its ingress once its time to take is over

The egress's way in was shut by then, the ingress's not. Ruled out: the server (its run ended as cut), the caller's own node (still there). Now both refuse what is new; whoever asks the ingress is told that nothing ran and goes elsewhere. The mesh play stops a node under requests that overlap; it does not hit the 100 ms of the old way.

--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -527,6 +527,7 @@
   const int busy = (egress_ ? egress_->inFlight() : 0) + (ingress_ ? ingress_->running() : 0);
   const bool still = egress_ != nullptr && since < kStillComing;
   if (egress_ && !still) egress_->refuseAll(true);
+  if (ingress_ && !still) ingress_->refuseAll();
   const Span most = std::max(Span(0), settings_.grace - kExitMargin);
   if ((busy == 0 && !still && since > kTick) || since > most) {
     roster_->stop();
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -385,7 +385,8 @@
   const auto server = parts_.server(id);
   const auto it = gates_.find(id);
   const Instant now = parts_.bell.now();
-  const bool open = server && it != gates_.end() && server->address == parts_.appAddress &&
+  const bool open = !refusing_ && server && it != gates_.end() &&
+                    server->address == parts_.appAddress &&
                     server->status != cairn::Server::Status::gone &&
                     !(it->second.closes && *it->second.closes <= now);
   if (!open) {
--- a/src/request/ingress.hpp
+++ b/src/request/ingress.hpp
@@ -43,9 +43,12 @@
   void heard(const cairn::Server& server, Instant now);
   [[nodiscard]] const IngressCounts& counts() const { return counts_; }
   [[nodiscard]] int running() const;
+  // A node about to end takes nothing more: whoever asks is told to go elsewhere.
+  void refuseAll() { refusing_ = true; }
 
  private:
   friend class Passage;
+  bool refusing_ = false;
   struct Gate {
     explicit Gate(int slots) : turnstile(slots) {}
     Turnstile turnstile;
--- a/tests/mesh.cpp
+++ b/tests/mesh.cpp
@@ -1,5 +1,8 @@
 // The real program as a mesh: three core nodes, sidecars, stand-in servers. Waits for what it
 // expects, up to a generous limit.
+#include <atomic>
+#include <thread>
+
 #include "hosts.hpp"
 
 namespace merlin::test {
@@ -123,6 +126,34 @@
                 {{"Host", "echo.example"}, {"Attempt-Id", "t3"}}, "x")
                .status == 200;
   });
+  // Requests go on to a server whose node is stopped: none is begun that the node can't end.
+  std::vector<std::thread> callers;
+  std::atomic<int> cut{0};
+  std::atomic<int> whole{0};
+  std::thread stopping([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    mesh.stop(back, SIGTERM);
+  });
+  for (int i = 0; i < 22; ++i) {
+    callers.emplace_back([&, i] {
+      const auto got =
+          call(at(front, kEgress), "POST", "/c/slow",
+               {{"Host", "echo.example"}, {"Attempt-Id", "q" + std::to_string(i)}}, "x");
+      whole += got.status == 200 ? 1 : 0;
+      cut += got.status == 200 || got.status == 503 ? 0 : 1;
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(350));
+  }
+  for (auto& caller : callers) caller.join();
+  stopping.join();
+  require(whole > 0 && cut == 0, "a node that is stopped cuts nothing off");
+  mesh.start(back, Mesh::Kind::sidecar, false);
+  eventually("it is there again", [&] {
+    app.beat("available");
+    return call(at(front, kEgress), "POST", "/c/1",
+                {{"Host", "echo.example"}, {"Attempt-Id", "t4"}}, "x")
+               .status == 200;
+  });
   require(app.beat("draining") == 200, "the drain is acknowledged");
   eventually("a drained server gets nothing more", [&] {
     return call(at(front, kEgress), "POST", "/c/1", {{"Host", "echo.example"}}, "x").status == 503;
--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -36,6 +36,7 @@
   int seconds = 5;   // of each part
   int settle = 3;    // before the first
   int limit = 120;   // for everybody to know of everybody
+  int calls = 50;    // to tell what the path adds to one
   [[nodiscard]] int processes() const {
     return cores + real + (hollow + perProcess - 1) / perProcess;
   }
@@ -63,7 +64,8 @@
                              {"restarts", &Sizes::restarts, 0, 100},
                              {"seconds", &Sizes::seconds, 1, 60},
                              {"settle", &Sizes::settle, 0, 60},
-                             {"limit", &Sizes::limit, 1, 300}};
+                             {"limit", &Sizes::limit, 1, 300},
+                             {"calls", &Sizes::calls, 0, 20000}};
 
 double machineMb() {
   std::ifstream file("/proc/meminfo");
@@ -295,6 +297,7 @@
             {"services", sizes_.services}, {"routes", sizes_.routes}, {"zones", sizes_.zones}};
     begin();
     std::this_thread::sleep_for(std::chrono::seconds(sizes_.settle));
+    added();
     part(
         "rest", [](int) {}, 0);
     part(
@@ -363,6 +366,42 @@
     }
   }
 
+  // The same calls to a stand-in server itself and through the path, by turns, one at a time on
+  // kept connections: what egress, ingress and two more hops on loopback add.
+  void added() {
+    if (sizes_.real < 2 || sizes_.calls == 0) return;
+    net::HTTPClientSession direct{net::SocketAddress(at(realIp(1), kApp))};
+    net::HTTPClientSession through{net::SocketAddress(at(realIp(0), kEgress))};
+    std::vector<double> times[2];
+    for (int i = 0; i < 2 * sizes_.calls; ++i) {
+      auto& session = i % 2 == 0 ? direct : through;
+      session.setKeepAlive(true);
+      net::HTTPRequest request("GET", "/p0/x", "HTTP/1.1");
+      request.set("Host", "h.example");
+      request.set("Attempt-Id", "d" + std::to_string(i));
+      request.set("Expected-Instance", "i-real-1");
+      const auto from = nowUs();
+      session.sendRequest(request);
+      net::HTTPResponse response;
+      std::string body;
+      Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+      if (response.getStatus() != 200) continue;
+      times[i % 2].push_back(static_cast<double>(nowUs() - from) / 1e3);
+    }
+    for (auto& list : times) std::sort(list.begin(), list.end());
+    json out;
+    for (const double share : {0.5, 0.9, 0.99}) {
+      const auto of = [share](const std::vector<double>& list) {
+        return list.empty()
+                   ? 0.0
+                   : list[static_cast<std::size_t>(share * static_cast<double>(list.size() - 1))];
+      };
+      out["p" + std::to_string(static_cast<int>(share * 100))] = {of(times[0]), of(times[1])};
+    }
+    out["served"] = {times[0].size(), times[1].size()};
+    out_["direct_and_through_ms"] = std::move(out);
+  }
+
   json whole() const {
     json routes = json::array();
     for (int i = 0; i < sizes_.routes; ++i) routes.push_back(route(i, 2));
