--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -147,10 +147,12 @@
   }
   const auto tell = [&] {
     std::size_t fewest = SIZE_MAX;
+    std::int64_t oldest = INT64_MAX;
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;
     for (const auto& node : nodes) {
       fewest = std::min(fewest, node->nodes());
+      oldest = std::min(oldest, node->revision());
       messages += node->messages();
       bytes += node->allBytes();
     }
@@ -159,6 +161,7 @@
       times[std::to_string(revision)] = {at.first, at.second};
     }
     std::cout << json{{"fewest", fewest},
+                      {"oldest", oldest},
                       {"messages", messages},
                       {"bytes", bytes},
                       {"learned", times}}
@@ -456,13 +459,10 @@
   void delays() {
     if (acked_.empty()) return;
     waitFor("everybody has the newest configuration", [&] {
-      int nodes = 0;
       for (const auto& process : hollow_) {
-        const auto learned = process->ask()["learned"];
-        const auto it = learned.find(std::to_string(revision_));
-        if (it != learned.end()) nodes += it->at(0).get<int>();
+        if (process->ask()["oldest"] < revision_) return false;
       }
-      return nodes >= sizes_.hollow;
+      return true;
     });
     std::map<int, std::int64_t> last;
     for (const auto& process : hollow_) {
