Scale run: what nothing reads any more is gone, sums are made in one place

Since everybody's oldest revision is asked for, the count of nodes per revision had no reader; nor had two accessors. A restarted hollow node carries its sums over by the functions that tell them.

--- a/tests/hollow.hpp
+++ b/tests/hollow.hpp
@@ -37,8 +37,8 @@
   // Ends as by SIGTERM and comes back empty, with a new server.
   void restart() {
     ++life_;
-    before_ += wire_->traffic().asked + wire_->traffic().served;
-    beforeBytes_ += bytes();
+    before_ = messages();
+    beforeBytes_ = allBytes();
     book_->deregister(server_.id, bell_.now());
     book_->leave();
     roster_->stop();
@@ -65,7 +65,6 @@
   }
 
   [[nodiscard]] std::size_t nodes() const { return book_->nodes().size(); }
-  [[nodiscard]] std::size_t servers() const { return book_->usable(terms_.service).size(); }
   [[nodiscard]] std::uint64_t messages() const {
     return before_ + wire_->traffic().asked + wire_->traffic().served;
   }
--- a/tests/scale.cpp
+++ b/tests/scale.cpp
@@ -120,7 +120,7 @@
 
 int hollowMain(int first, int count, const Sizes& sizes) {
   hut::Bell bell;
-  std::map<std::int64_t, std::pair<int, std::int64_t>> learned;  // how many nodes, the last when
+  std::map<std::int64_t, std::int64_t> learned;  // when the last of them learned a revision
   std::vector<std::unique_ptr<Hollow>> nodes;
   for (int i = first; i < first + count; ++i) {
     HollowTerms terms;
@@ -129,11 +129,7 @@
     terms.service = ServiceName(serviceName(1 + i % sizes.services));
     for (int c = 0; c < std::min(3, sizes.cores); ++c) terms.seeds.emplace_back(coreIp(c));
     terms.port = kInner;
-    terms.learned = [&learned](std::int64_t revision) {
-      auto& [many, last] = learned[revision];
-      ++many;
-      last = nowUs();
-    };
+    terms.learned = [&learned](std::int64_t revision) { learned[revision] = nowUs(); };
     nodes.push_back(std::make_unique<Hollow>(bell, std::move(terms)));
   }
   std::vector<std::function<void()>> ticks(nodes.size());
@@ -158,7 +154,7 @@
     }
     json times = json::object();
     for (const auto& [revision, at] : learned) {
-      times[std::to_string(revision)] = {at.first, at.second};
+      times[std::to_string(revision)] = at;
     }
     std::cout << json{{"fewest", fewest},
                       {"oldest", oldest},
@@ -218,8 +214,8 @@
 
 class HollowProcess {
  public:
-  HollowProcess(const std::string& self, int first, int count, const std::vector<std::string>& args)
-      : count_(count) {
+  HollowProcess(const std::string& self, int first, int count,
+                const std::vector<std::string>& args) {
     int in[2];
     int out[2];
     if (::pipe2(in, O_CLOEXEC) != 0 || ::pipe2(out, O_CLOEXEC) != 0) throw Failure{"no pipe"};
@@ -264,11 +260,9 @@
     return json::parse(line);
   }
   [[nodiscard]] pid_t pid() const { return pid_; }
-  [[nodiscard]] int count() const { return count_; }
 
  private:
   pid_t pid_ = 0;
-  int count_ = 0;
   int to_ = -1;
   std::FILE* from_ = nullptr;
 };
@@ -469,7 +463,7 @@
       const auto told = process->ask();
       for (const auto& [revision, at] : told["learned"].items()) {
         auto& latest = last[std::stoi(revision)];
-        latest = std::max(latest, at[1].get<std::int64_t>());
+        latest = std::max(latest, at.get<std::int64_t>());
       }
     }
     std::vector<double> all;
