Lives of a voter rise: an unheard older one was taken for new, and both rivals were confirmed

Cause: lives were random numbers, and an accept that named a life which the voter had never heard of counted as newer. A voter's first life is only heard of once a majority that counts its promise has been written. If it loses its disk before that, a change that it had promised in the first life and one that it accepted in the second can both be chosen on one version. Ruled out: refusing unknown lives (a voter that was not asked would refuse for good), times (clocks jump). Lives now have a generation that rises: a first start is the lowest, a wiped voter is told the newest known and takes a higher one.

--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -12,6 +12,7 @@
 constexpr int kBackOffSteps = 4;
 constexpr Span kRoundMost = std::chrono::seconds(4);
 constexpr Span kFetchTime = std::chrono::seconds(2);
+constexpr unsigned kLuckBits = 40;  // of a life; the rest is its generation
 
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
@@ -19,6 +20,21 @@
   return out;
 }
 
+json livesJson(const std::map<NodeId, Life>& lives) {
+  json out = json::object();
+  for (const auto& [node, life] : lives) out[node.str()] = life.value;
+  return out;
+}
+
+std::map<NodeId, Life> livesFrom(const json& j) {
+  std::map<NodeId, Life> out;
+  for (const auto& [node, life] : j.items()) {
+    // Earlier versions kept a list; the last of it was the living one.
+    out[NodeId(node)] = Life{(life.is_array() ? life.back() : life).get<std::uint64_t>()};
+  }
+  return out;
+}
+
 std::vector<NodeId> namesFrom(const json& j) {
   std::vector<NodeId> out;
   for (const auto& name : j) out.emplace_back(name.get<std::string>());
@@ -26,6 +42,18 @@
 }
 }  // namespace
 
+namespace {
+Life lifeOf(std::uint64_t generation, std::uint64_t luck) {
+  return Life{(generation << kLuckBits) | (luck & ((std::uint64_t{1} << kLuckBits) - 1))};
+}
+}  // namespace
+
+Life firstLife(std::uint64_t luck) { return lifeOf(1, luck); }
+
+Life laterLife(Life than, std::uint64_t luck) {
+  return lifeOf(std::max<std::uint64_t>(than.value >> kLuckBits, 1) + 1, luck);
+}
+
 Span extraTime(std::size_t bytes) { return Span(static_cast<std::int64_t>(bytes) * 4); }
 
 bool Value::isVoter(const NodeId& node) const {
@@ -122,9 +150,7 @@
   json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
   if (ask.kind == Ask::Kind::accept) {
     out["v"] = toJson(ask.value, ask.text, shelf);
-    json lives = json::object();
-    for (const auto& [node, life] : ask.lives) lives[node.str()] = life.value;
-    out["l"] = std::move(lives);
+    out["l"] = livesJson(ask.lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
   } else if (ask.kind == Ask::Kind::fetch) {
@@ -145,9 +171,7 @@
   ask.ballot = ballotFrom(j.at("b"));
   if (ask.kind == Ask::Kind::accept) {
     ask.value = valueFrom(j.at("v"), shelf);
-    for (const auto& [node, life] : j.at("l").items()) {
-      ask.lives[NodeId(node)] = Life{life.get<std::uint64_t>()};
-    }
+    ask.lives = livesFrom(j.at("l"));
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
   } else {
@@ -161,6 +185,10 @@
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
   if (reply.text != 0) out["x"] = reply.text;
+  if (reply.knows != Life{}) {
+    out["k"] = reply.knows.value;
+    out["l"] = livesJson(reply.lives);
+  }
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
@@ -178,6 +206,8 @@
   reply.asleep = j.value("z", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
+  reply.knows = Life{j.value("k", std::uint64_t{0})};
+  if (j.contains("l")) reply.lives = livesFrom(j.at("l"));
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
@@ -193,19 +223,13 @@
     : self_(std::move(self)), life_(life), awake_(awake) {}
 
 Ledge::Saved Ledge::save() const {
-  json lives = json::object();
-  for (const auto& [node, list] : lives_) {
-    json values = json::array();
-    for (const auto& life : list) values.push_back(life.value);
-    lives[node.str()] = std::move(values);
-  }
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
   const json head = {{"life", life_.value},
                      {"awake", awake_},
                      {"promised", toJson(promised_)},
                      {"accepted", toJson(accepted_)},
                      {"value", toJson(value_, apart)},
-                     {"lives", std::move(lives)}};
+                     {"lives", livesJson(lives_)}};
   return {head.dump(), value_.config};
 }
 
@@ -219,11 +243,7 @@
     ledge.promised_ = ballotFrom(saved.at("promised"));
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
-    for (const auto& [node, list] : saved.at("lives").items()) {
-      for (const auto& life : list) {
-        ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
-      }
-    }
+    ledge.lives_ = livesFrom(saved.at("lives"));
     return ledge;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -232,15 +252,15 @@
 
 Reply Ledge::answer(bool ok, bool same) const {
   return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
+          accepted_, value_,  same,  value_.config ? value_.config->id() : 0,
+          {},        {}};
 }
 
-// False where the life named is over.
+// False where the life named is over, or may be: a newer one is known.
 bool Ledge::learnLife(const NodeId& node, Life life) {
-  auto& list = lives_[node];
-  if (!list.empty() && list.back() == life) return true;
-  if (std::find(list.begin(), list.end(), life) != list.end()) return false;
-  list.push_back(life);
+  auto& newest = lives_[node];
+  if (life < newest) return false;
+  newest = life;
   return true;
 }
 
@@ -256,9 +276,7 @@
       for (const auto& [node, life] : ask.lives) {
         if (node == self_ && life != life_) return {answer(false), false};
         const auto it = lives_.find(node);
-        if (it == lives_.end() || it->second.empty() || it->second.back() == life) continue;
-        const auto& list = it->second;
-        if (std::find(list.begin(), list.end(), life) != list.end()) return {answer(false), false};
+        if (it != lives_.end() && life < it->second) return {answer(false), false};
       }
       for (const auto& [node, life] : ask.lives) learnLife(node, life);
       promised_ = ask.ballot;
@@ -266,9 +284,13 @@
       value_ = ask.value;
       return {answer(true, true), true};  // the asker wrote it
     }
-    case Ask::Kind::rejoin:
-      if (!learnLife(ask.from, ask.life)) return {answer(false), false};
-      return {answer(true), true};
+    case Ask::Kind::rejoin: {
+      const bool newest = learnLife(ask.from, ask.life);
+      auto reply = answer(newest);
+      reply.knows = lives_.at(ask.from);
+      reply.lives = lives_;
+      return {reply, newest};
+    }
     case Ask::Kind::fetch:
       return {answer(true), false};
   }
@@ -285,7 +307,16 @@
 }
 
 bool Ledge::rejoinReply(const NodeId& from, const Reply& reply, const Value& known) {
-  if (awake_ || !reply.ok || reply.asleep) return false;
+  if (awake_ || reply.asleep) return false;
+  if (!reply.ok) {
+    // A newer life of this voter is known there: this one asks all anew, as one that is newer
+    // still.
+    if (reply.knows < life_) return false;
+    life_ = laterLife(reply.knows, mixHash(self_.str(), life_.value));
+    rejoin_.clear();
+    return false;
+  }
+  if (reply.knows != life_) return false;  // said to the life before
   rejoin_[from] = reply;
   // The newest voters that anyone has told of decide whose answers count.
   const Value* newest = &known;
@@ -304,6 +335,7 @@
   if (newest->voters.empty()) return false;
   for (const auto& [node, r] : rejoin_) {
     promised_ = std::max(promised_, r.promised);
+    for (const auto& [other, life] : r.lives) learnLife(other, life);
     if (r.accepted > accepted_) {
       accepted_ = r.accepted;
       value_ = r.value;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -82,8 +82,10 @@
   Ballot promised;
   Ballot accepted;
   Value value;
-  bool same = false;       // the value is the one the asker holds: it is not sent again
-  std::uint64_t text = 0;  // which text this voter has
+  bool same = false;             // the value is the one the asker holds: it is not sent again
+  std::uint64_t text = 0;        // which text this voter has
+  Life knows;                    // rejoin: the newest life of the asker that is known here
+  std::map<NodeId, Life> lives;  // rejoin: of the other voters, so that no wipe forgets them
 };
 
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
@@ -93,10 +95,15 @@
                       bool spare = false);
 Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
+// The lives of a voter rise: a generation (the upper bits) and luck. One that woke is written down
+// at a majority of the others, so the next one, which asks a majority, takes a higher generation.
+Life firstLife(std::uint64_t luck);             // of a first start: below every life of a woken one
+Life laterLife(Life than, std::uint64_t luck);  // the next generation
+
 class Ledge {
  public:
   // A voter of the very first start may vote at once; one with an empty disk later must read
-  // the others first.
+  // the others first. Its life then has to be above that of any first start.
   Ledge(NodeId self, Life life, bool awake);
   // A head as JSON, and the configuration's text apart, as it is.
   struct Saved {
@@ -131,7 +138,7 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
-  std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
+  std::map<NodeId, Life> lives_;  // the newest known of each voter ever heard of
   std::map<NodeId, Reply> rejoin_;
 };
 
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -56,7 +56,7 @@
     }
     for (auto& m : machines_) {
       m->known.voters = first_;
-      m->ledge.emplace(m->id, Life{clock_.random() >> 1}, true);
+      m->ledge.emplace(m->id, cairn::firstLife(clock_.random()), true);
       m->disk = m->ledge->save();
     }
   }
@@ -183,7 +183,9 @@
     m.known.voters = first_;
     if (m.disk) m.ledge = Ledge::restore(m.id, *m.disk);
     // A fault of its own: one that lost its disk votes as if nothing had been.
-    if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, fault("forgetful"));
+    if (!m.ledge) {
+      m.ledge.emplace(m.id, cairn::laterLife(Life{}, clock_.random()), fault("forgetful"));
+    }
     m.shelf = cairn::Shelf();
     m.shelf.put(m.ledge->value().config);
     m.wiped = false;
@@ -328,10 +330,20 @@
       if (cuts_.contains(from) || cuts_.contains(to)) return;
       if (!healed_ && clock_.chance(number(s_, "loss", 0))) return;
     }
+    // link FROM TO BEGIN END MS: what is sent in that time takes so much longer; `lost`: never
+    // comes.
+    double extra = 0;
+    for (const auto* line : linesOf(s_, "link")) {
+      const auto& w = line->words;
+      if (w.at(1) != from.str() || w.at(2) != to.str()) continue;
+      if (clock_.ms() < std::stod(w.at(3)) || clock_.ms() >= std::stod(w.at(4))) continue;
+      if (w.at(5) == "lost") return;
+      extra = std::stod(w.at(5));
+    }
     const auto delays = linesOf(s_, "delay");
     const double low = delays.empty() ? 0.5 : std::stod(delays[0]->words.at(1));
     const double high = delays.empty() ? 3 : std::stod(delays[0]->words.at(2));
-    double wait = from == to ? 0 : clock_.uniform(low, high);
+    double wait = from == to ? 0 : clock_.uniform(low, high) + extra;
     const double frozen = machine(to.str()).frozenUntil - clock_.ms();
     if (frozen > 0) wait += frozen;
     clock_.after(wait, std::move(work));
@@ -346,6 +358,7 @@
     } catch (const std::exception&) {
       return;  // it was wiped since it said which text it has: no answer
     }
+    if (fault("lifeless")) ask.lives.clear();  // of its own: which lives promised is not looked at
     const auto out = m.ledge->ask(ask);
     m.shelf.put(m.ledge->value().config);
     const int life = m.life;
