Only crash-consistent quorums count: replies of a life that is over are left out

Cause: a voter that lost its disk has forgotten what it promised or accepted. Only accepts named the lives that had promised, and acceptors that knew better refused. Every reply now tells what its sender knows of lives later than the first; a proposer, and a voter that wakes, leave out replies of lives that others know to be over.

--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -46,12 +46,13 @@
 Life lifeOf(std::uint64_t generation, std::uint64_t luck) {
   return Life{(generation << kLuckBits) | (luck & ((std::uint64_t{1} << kLuckBits) - 1))};
 }
+std::uint64_t generationOf(Life life) { return life.value >> kLuckBits; }
 }  // namespace
 
 Life firstLife(std::uint64_t luck) { return lifeOf(1, luck); }
 
 Life laterLife(Life than, std::uint64_t luck) {
-  return lifeOf(std::max<std::uint64_t>(than.value >> kLuckBits, 1) + 1, luck);
+  return lifeOf(std::max<std::uint64_t>(generationOf(than), 1) + 1, luck);
 }
 
 Span extraTime(std::size_t bytes) { return Span(static_cast<std::int64_t>(bytes) * 4); }
@@ -185,10 +186,8 @@
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
   if (reply.text != 0) out["x"] = reply.text;
-  if (reply.knows != Life{}) {
-    out["k"] = reply.knows.value;
-    out["l"] = livesJson(reply.lives);
-  }
+  if (reply.knows != Life{}) out["k"] = reply.knows.value;
+  if (!reply.lives.empty()) out["l"] = livesJson(reply.lives);
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
@@ -251,16 +250,25 @@
 }
 
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0,
-          {},        {}};
+  Reply reply;
+  reply.ok = ok;
+  reply.asleep = !awake_;
+  reply.life = life_;
+  reply.promised = promised_;
+  reply.accepted = accepted_;
+  reply.value = value_;
+  reply.same = same;
+  reply.text = value_.config ? value_.config->id() : 0;
+  reply.lives = lives_;
+  return reply;
 }
 
-// False where the life named is over, or may be: a newer one is known.
+// False where the life named is over: a newer one is known. A first life is below all others and is
+// nothing to remember.
 bool Ledge::learnLife(const NodeId& node, Life life) {
-  auto& newest = lives_[node];
-  if (life < newest) return false;
-  newest = life;
+  const auto it = lives_.find(node);
+  if (it != lives_.end() && life < it->second) return false;
+  if (generationOf(life) > 1) lives_[node] = life;
   return true;
 }
 
@@ -287,8 +295,7 @@
     case Ask::Kind::rejoin: {
       const bool newest = learnLife(ask.from, ask.life);
       auto reply = answer(newest);
-      reply.knows = lives_.at(ask.from);
-      reply.lives = lives_;
+      reply.knows = newest ? ask.life : lives_.at(ask.from);
       return {reply, newest};
     }
     case Ask::Kind::fetch:
@@ -318,6 +325,14 @@
   }
   if (reply.knows != life_) return false;  // said to the life before
   rejoin_[from] = reply;
+  // One that lost its disk since it answered has forgotten what it was told, and may hold more now.
+  for (const auto& [node, r] : rejoin_) {
+    for (const auto& [other, life] : r.lives) learnLife(other, life);
+  }
+  std::erase_if(rejoin_, [this](const auto& entry) {
+    const auto it = lives_.find(entry.first);
+    return it != lives_.end() && entry.second.life < it->second;
+  });
   // The newest voters that anyone has told of decide whose answers count.
   const Value* newest = &known;
   for (const auto& [node, r] : rejoin_) {
@@ -335,7 +350,6 @@
   if (newest->voters.empty()) return false;
   for (const auto& [node, r] : rejoin_) {
     promised_ = std::max(promised_, r.promised);
-    for (const auto& [other, life] : r.lives) learnLife(other, life);
     if (r.accepted > accepted_) {
       accepted_ = r.accepted;
       value_ = r.value;
@@ -421,15 +435,37 @@
   return {};
 }
 
+// A voter that lost its disk may have promised or accepted in the life before. Of two voters that
+// count in one quorum, the one that answered the lost one's questions did so before this round, and
+// then the new life knows of it, or after, and then its reply tells of the new life: the older
+// life's reply doesn't count.
+bool Climber::consistent(const NodeId& from, const Reply& reply) {
+  const auto over = [this](const NodeId& node, Life life) {
+    const auto it = lives_.find(node);
+    return it != lives_.end() && life < it->second;
+  };
+  for (const auto& [node, life] : reply.lives) lives_[node] = std::max(lives_[node], life);
+  std::erase_if(promises_, [&](const auto& entry) {
+    if (!over(entry.first, entry.second.life)) return false;
+    asked_.erase(entry.first);  // its new life is asked
+    return true;
+  });
+  std::erase_if(accepts_, [&](const auto& entry) { return over(entry.first, entry.second); });
+  return !over(from, reply.life);
+}
+
 std::vector<Climber::Send> Climber::reply(const NodeId& from, std::uint64_t round,
                                           const Reply& reply, Instant now) {
   highest_ = std::max(highest_, reply.promised.number);
   if (result_ || round != round_ || waiting_) return {};
   if (reply.asleep) return {};
   if (!reply.ok) return backOff(now);
+  if (!consistent(from, reply)) return {};
   if (accepting_) {
-    accepts_.insert(from);
-    if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
+    accepts_[from] = reply.life;
+    std::set<NodeId> have;
+    for (const auto& [node, life] : accepts_) have.insert(node);
+    if (quorum(old_, have) && quorum(next_, have)) accepted();
     return {};
   }
   if (fetching_) {
@@ -439,6 +475,7 @@
     return promised(now);
   }
   promises_[from] = reply;
+  // What a life that is over had accepted may be shown still: it is none the less true.
   if (reply.accepted > bestBallot_) {
     bestBallot_ = reply.accepted;
     bestValue_ = reply.same ? basis_ : reply.value;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -82,10 +82,12 @@
   Ballot promised;
   Ballot accepted;
   Value value;
-  bool same = false;             // the value is the one the asker holds: it is not sent again
-  std::uint64_t text = 0;        // which text this voter has
-  Life knows;                    // rejoin: the newest life of the asker that is known here
-  std::map<NodeId, Life> lives;  // rejoin: of the other voters, so that no wipe forgets them
+  bool same = false;       // the value is the one the asker holds: it is not sent again
+  std::uint64_t text = 0;  // which text this voter has
+  Life knows;              // rejoin: the newest life of the asker that is known here
+  // What this voter knows of lives later than the first: replies of one round that contradict each
+  // other on who lives don't count together (a crash-consistent quorum).
+  std::map<NodeId, Life> lives;
 };
 
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
@@ -138,7 +140,7 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
-  std::map<NodeId, Life> lives_;  // the newest known of each voter ever heard of
+  std::map<NodeId, Life> lives_;  // the newest known of each voter that ever lost its disk
   std::map<NodeId, Reply> rejoin_;
 };
 
@@ -186,6 +188,8 @@
   std::vector<Send> promised(Instant now);
   std::vector<Send> backOff(Instant now);
   void accepted();
+  // Notes whose lives are over; false where this reply comes from such a one.
+  bool consistent(const NodeId& from, const Reply& reply);
   [[nodiscard]] bool everySame() const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
@@ -208,7 +212,8 @@
   int refusals_ = 0;
   std::set<NodeId> asked_;
   std::map<NodeId, Reply> promises_;
-  std::set<NodeId> accepts_;
+  std::map<NodeId, Life> accepts_;
+  std::map<NodeId, Life> lives_;  // the newest that any reply has told of
   Value bestValue_;
   Ballot bestBallot_;
   Value old_;
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -358,8 +358,10 @@
     } catch (const std::exception&) {
       return;  // it was wiped since it said which text it has: no answer
     }
-    if (fault("lifeless")) ask.lives.clear();  // of its own: which lives promised is not looked at
-    const auto out = m.ledge->ask(ask);
+    // Faults of its own: nothing is told of lives, or only accepts name them.
+    if (fault("lifeless")) ask.lives.clear();
+    auto out = m.ledge->ask(ask);
+    if (fault("lifeless") || fault("untold")) out.reply.lives.clear();
     m.shelf.put(m.ledge->value().config);
     const int life = m.life;
     const auto state = m.ledge->save();
