--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -40,7 +40,7 @@
   Bell::TimerId timer = 0;
 };
 
-Council::Council(Parts parts, std::uint64_t seed) : parts_(std::move(parts)), random_(seed) {
+Council::Council(Parts parts, std::uint64_t seed) : parts_(std::move(parts)), random_(seed), startedAt_(parts_.bell.now()) {
   const auto& settings = parts_.settings;
   if (settings.bootstrap) {
     known_.voters = settings.seeds;
@@ -92,6 +92,11 @@
 
 void Council::learn(const Value& value) {
   if (value.sequence <= known_.sequence) return;
+  if (known_.sequence == 0) {
+    const auto since = parts_.bell.now() - startedAt_;
+    parts_.log("version " + std::to_string(value.revision().value) + " heard " +
+               std::to_string(since.count() / 1000) + " ms after the start");
+  }
   known_ = value;
   shelf_.put(known_.config);
   parts_.chosen(known_);
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -63,6 +63,7 @@
 
   Parts parts_;
   std::mt19937_64 random_;
+  Instant startedAt_;
   std::optional<cairn::Ledge> ledge_;
   cairn::Value known_;
   std::map<std::uint64_t, std::string> knownTexts_;
--- a/tests/hosts.hpp
+++ b/tests/hosts.hpp
@@ -255,6 +255,8 @@
 
   void pause(const std::string& ip, bool on) { ::kill(running_.at(ip), on ? SIGSTOP : SIGCONT); }
 
+  [[nodiscard]] std::string dataOf(const std::string& ip) const { return (folder_ / ip).string(); }
+
   void wipe(const std::string& ip) { std::filesystem::remove_all(folder_ / ip); }
 
  private:
--- a/tests/world_disk.cpp
+++ b/tests/world_disk.cpp
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <memory>
 #include <sstream>
 
 #include "process/bell.hpp"
@@ -29,6 +30,10 @@
   ~DiskWorld() { fs::remove_all(folder_); }
 
   void play(std::map<std::string, double>& out) {
+    if (!linesOf(s_, "texts").empty()) {
+      storm(out);
+      return;
+    }
     const int saves = static_cast<int>(number(s_, "saves", 8));
     const int losses = static_cast<int>(number(s_, "losses", 20));
     Files before;
@@ -78,6 +83,39 @@
             cairn::Signboard::of(std::string(9000 + 1000 * k, static_cast<char>('a' + k % 26)))};
   }
 
+  // Thousands of changes: texts that grow and shrink, and heads saved between them. The file stays
+  // within what the disk was given, and none of the saves is refused.
+  void storm(std::map<std::string, double>& out) {
+    const int texts = static_cast<int>(number(s_, "texts", 100));
+    const double least = number(s_, "least", 1000);
+    const double most = number(s_, "most", 400000);
+    const auto map = static_cast<std::size_t>(number(s_, "map_mb", 8)) << 20;
+    const int heads = static_cast<int>(number(s_, "heads", 2));
+    double highest = 0;
+    double refused = 0;
+    restore({});
+    auto cellar = std::make_unique<Cellar>(bell_, folder_.string(), map);
+    for (int n = 1; n <= texts; ++n) {
+      const auto text = cairn::Signboard::of(
+          std::to_string(n) +
+          std::string(static_cast<std::size_t>(clock_.uniform(least, most)), 't'));
+      for (int k = 0; k < heads; ++k) {
+        const auto head = std::to_string(n) + "/" + std::to_string(k) +
+                          std::string(static_cast<std::size_t>(clock_.uniform(200, 9000)), 'h');
+        refused += cellar->write({head, text}) ? 0 : 1;
+      }
+      highest = std::max(highest, static_cast<double>(fs::file_size(folder_ / "data.mdb")));
+      if (n % 50 != 0 && n != texts) continue;
+      // The process ends and comes back: what it saved last is there.
+      cellar = std::make_unique<Cellar>(bell_, folder_.string(), map);
+      const auto loaded = cellar->load();
+      require(loaded && loaded->text == text->text(), "what was saved last can't be read");
+    }
+    out = {{"saves", static_cast<double>(texts) * heads},
+           {"refused", refused},
+           {"highest_mb", highest / (1U << 20U)}};
+  }
+
   Files take() const {
     Files out;
     for (const auto& entry : fs::directory_iterator(folder_)) {
