--- a/src/process/cellar.cpp
+++ b/src/process/cellar.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <lmdb.h>
+#include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -95,10 +96,9 @@
   return ::stat(path.c_str(), &info) == 0 && info.st_size > 0;
 }
 
-void syncFolder(const std::string& path) {
+bool syncFolder(const std::string& path) {
   const File folder(path, O_RDONLY | O_DIRECTORY);
-  if (folder.good()) [[maybe_unused]]
-    const bool done = folder.sync();
+  return folder.good() && folder.sync();
 }
 
 std::string sealed(const std::string& record) {
@@ -141,6 +141,16 @@
     thread_.join();
   }
   closeEnv();
+  if (held_ >= 0) ::close(held_);
+}
+
+// Shared, so that a process that ends late never keeps its successor from starting.
+bool Cellar::free(const std::string& folder) {
+  const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0) return true;
+  const bool mine = ::flock(fd, LOCK_EX | LOCK_NB) == 0;
+  ::close(fd);
+  return mine;
 }
 
 bool Cellar::failed(const std::string& what) {
@@ -257,12 +267,15 @@
   if (mdb_env_info(env_, &env) != 0) return false;
   seal.newest = env.me_last_txnid & 1U;
   seal.sum = seal.ownSum();
+  const bool fresh = !exists(file(kSeals));
   const File file_(file(kSeals), O_RDWR | O_CREAT);
   // By turns: the one before stays as it is until this one is whole.
   if (!file_.good() || !file_.write(&seal, sizeof seal, (seal.number % 2) * kSealApart) ||
       !file_.sync()) {
     return false;
   }
+  // Both files may be new in it.
+  if (fresh && !syncFolder(folder_)) return false;
   seals_ = seal.number;
   return true;
 }
@@ -294,6 +307,9 @@
 }
 
 void Cellar::start() {
+  ::mkdir(folder_.c_str(), 0700);
+  held_ = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (held_ >= 0 && ::flock(held_, LOCK_SH | LOCK_NB) != 0) problem_ = "the folder is in use";
   thread_ = std::thread([this] { work(); });
 }
 
--- a/src/process/cellar.hpp
+++ b/src/process/cellar.hpp
@@ -43,6 +43,8 @@
   Cellar(const Cellar&) = delete;
   Cellar& operator=(const Cellar&) = delete;
 
+  // False while a process holds the folder.
+  static bool free(const std::string& folder);
   // Before `start`: what was saved, if it is there and whole. What is damaged is put aside.
   std::optional<Loaded> load();
   [[nodiscard]] Found found() const { return found_; }
@@ -52,6 +54,9 @@
   // Runs after everything handed in before, without writing.
   void after(Done done);
   [[nodiscard]] std::size_t backlog();
+  // The largest text that can be saved again and again: the one before stays until a new one is
+  // whole, and freed pages are not always in one piece.
+  [[nodiscard]] std::size_t mostText() const { return bytes_ / 5; }
   // How often something was written and synced since the start.
   [[nodiscard]] std::uint64_t saves() const { return saves_; }
   [[nodiscard]] const std::string& problem() const { return problem_; }
@@ -74,6 +79,7 @@
 
   Bell& bell_;
   std::string folder_;
+  int held_ = -1;  // the folder, marked as in use
   std::size_t bytes_;
   MDB_env* env_ = nullptr;
   unsigned dbi_ = 0;
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -36,11 +36,14 @@
   Climb(NodeId self, Value basis, Climber::Change change, std::uint64_t seed, Span round)
       : climber(std::move(self), std::move(basis), std::move(change), seed, round) {}
   Climber climber;
+  // What it said that it has: answers rest on these, however many texts come by until then.
+  std::vector<cairn::Signboard::Ptr> held;
   Told told;
   Bell::TimerId timer = 0;
 };
 
-Council::Council(Parts parts, std::uint64_t seed) : parts_(std::move(parts)), random_(seed), startedAt_(parts_.bell.now()) {
+Council::Council(Parts parts, std::uint64_t seed)
+    : parts_(std::move(parts)), random_(seed), startedAt_(parts_.bell.now()) {
   const auto& settings = parts_.settings;
   if (settings.bootstrap) {
     known_.voters = settings.seeds;
@@ -111,7 +114,19 @@
   if (ask.from != parts_.settings.self && ask.kind != Ask::Kind::rejoin) {
     rivalAt_ = parts_.bell.now();
   }
+  if (ask.kind == Ask::Kind::accept && ask.value.config &&
+      ask.value.config->text().size() > parts_.cellar->mostText()) {
+    // Not taken over in memory either: nothing after it could be saved.
+    parts_.log("a configuration of " + std::to_string(ask.value.config->text().size()) +
+               " bytes is more than the disk is given");
+    answer(std::nullopt);
+    return;
+  }
   auto out = ledge_->ask(ask);
+  // A newer value has come since the asker was told of this one.
+  if (const auto text = ask.kind == Ask::Kind::fetch ? shelf_.find(ask.text) : nullptr) {
+    out.reply.value.config = text;
+  }
   shelf_.put(ledge_->value().config);
   const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
     if (!ok) {
@@ -140,7 +155,11 @@
   auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_(),
                                        roundTime());
   climb->told = std::move(told);
-  if (ledge_) climb->climber.holds(ledge_->value().config);
+  climb->held.push_back(base.config);
+  if (ledge_) {
+    climb->climber.holds(ledge_->value().config);
+    climb->held.push_back(ledge_->value().config);
+  }
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
 
@@ -157,8 +176,9 @@
     }
     parts_.wire.post(send.to, "/register", toJson(send.ask, &shelf_),
                      kVoterLimit + cairn::extraTime(send.ask.value),
-                     [this, back](std::optional<json> answer) {
+                     [this, climb, back](std::optional<json> answer) {
                        if (!answer) return;
+                       for (const auto& text : climb->held) shelf_.put(text);
                        try {
                          back(cairn::replyFrom(*answer, &shelf_));
                        } catch (const std::exception&) {
@@ -200,14 +220,20 @@
   const Instant now = parts_.bell.now();
   if (now < rejoinAt_) return;
   rejoinAt_ = now + kRejoinEvery;
-  const auto question = ledge_->rejoinAsk();
+  auto question = ledge_->rejoinAsk();
+  const auto held = known_.config ? known_.config : ledge_->value().config;
+  question->text = held ? held->id() : 0;
   std::set<NodeId> others(known_.voters.begin(), known_.voters.end());
   others.insert(known_.before.begin(), known_.before.end());
   others.erase(parts_.settings.self);
   for (const auto& other : others) {
+    // Each answer may bring a large text: a second one is not asked for meanwhile.
+    if (!rejoinAsked_.insert(other).second) continue;
     parts_.wire.post(other, "/register", toJson(*question), kRejoinLimit,
-                     [this, other](std::optional<json> answer) {
+                     [this, other, held](std::optional<json> answer) {
+                       rejoinAsked_.erase(other);
                        if (!answer || ledge_->awake()) return;
+                       shelf_.put(held);
                        try {
                          const auto reply = cairn::replyFrom(*answer, &shelf_);
                          if (!ledge_->rejoinReply(other, reply, known_)) return;
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -75,6 +75,7 @@
   bool changingVoters_ = false;
   std::optional<Instant> aheadSince_;
   Instant rejoinAt_;
+  std::set<NodeId> rejoinAsked_;  // who has not answered yet
 };
 
 }  // namespace merlin::hut
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -26,6 +26,7 @@
 
 #include "process/bell.hpp"
 #include "process/settings.hpp"
+#include "process/snapshot.hpp"
 #include "process/warden.hpp"
 #include "version/chart.hpp"
 
@@ -59,6 +60,8 @@
         Option("log-level", "l", "error, warning, information or debug").argument("LEVEL"));
     options.addOption(
         Option("node", "n", "control address of a node, for config").argument("HOST:PORT"));
+    options.addOption(Option("data", "d", "data directory of a node, for state").argument("DIR"));
+    options.addOption(Option("force", "f", "put back over state that is there"));
     options.addOption(Option("base", "b", "version that a config builds on").argument("REVISION"));
   }
 
@@ -68,6 +71,8 @@
     if (name == "log-level") level_ = value;
     if (name == "node") node_ = value;
     if (name == "base") base_ = value;
+    if (name == "data") data_ = value;
+    if (name == "force") force_ = true;
     if (name == "help" || name == "version") stopOptionsProcessing();
   }
 
@@ -84,6 +89,15 @@
     if (args[0] == "check" && args.size() == 2) return check(args[1]);
     if (args[0] == "config" && args.size() == 2 && args[1] == "get") return configGet();
     if (args[0] == "config" && args.size() == 3 && args[1] == "put") return configPut(args[2]);
+    if (args[0] == "state" && args.size() == 3) {
+      if (args[1] == "show") return told(merlin::hut::showSnapshot(args[2]));
+      if (args[1] == "save" && !data_.empty()) {
+        return told(merlin::hut::saveSnapshot(args[2], data_));
+      }
+      if (args[1] == "restore" && !data_.empty()) {
+        return told(merlin::hut::restoreSnapshot(args[2], data_, force_));
+      }
+    }
     if (args[0] == "status" && args.size() == 1) return get("/v1/Status");
     usage();
     return EXIT_USAGE;
@@ -100,6 +114,9 @@
         "check FILE       check a settings file or a configuration\n"
         "config get       print the configuration in place (--node)\n"
         "config put FILE  put a configuration in place (--node, --base)\n"
+        "state save FILE     save a voter's state as a snapshot (--data)\n"
+        "state restore FILE  put a snapshot into an empty data directory (--data, --force)\n"
+        "state show FILE     print the configuration in a snapshot\n"
         "status           print what a node knows (--node)\n");
     formatter.format(std::cout);
   }
@@ -148,6 +165,27 @@
     Poco::Logger::root().setLevel(level_);
   }
 
+  static int told(const merlin::hut::SnapshotDone& done) {
+    using End = merlin::hut::SnapshotDone::End;
+    if (done.end == End::done) {
+      std::cout << done.text << "\n";
+      return EXIT_OK;
+    }
+    std::cerr << "merlinhut: " << done.text << "\n";
+    switch (done.end) {
+      case End::noInput:
+        return EXIT_NOINPUT;
+      case End::badData:
+        return EXIT_DATAERR;
+      case End::taken:
+        return EXIT_CANTCREAT;
+      case End::busy:
+        return EXIT_TEMPFAIL;
+      default:
+        return EXIT_IOERR;
+    }
+  }
+
   static std::string contents(const std::string& path, bool& ok) {
     std::ifstream file(path);
     ok = static_cast<bool>(file);
@@ -222,6 +260,8 @@
   std::string level_ = "information";
   std::string node_ = "127.0.0.1:8146";
   std::string base_ = "0";
+  std::string data_;
+  bool force_ = false;
 };
 
 }  // namespace
--- a/src/process/office.cpp
+++ b/src/process/office.cpp
@@ -223,8 +223,15 @@
   const auto digest = sha1((whole ? "replace/" : "update/") + baseText + "/" + body);
   parts_.council.climb(
       [document, whole, base, digest, fewest = parts_.fewestVoters,
-       text = whole ? cairn::Signboard::of(body) : nullptr](const Value& current, Value& next) {
-        return decide(*document, text, whole, base, digest, fewest, current, next);
+       text = whole ? cairn::Signboard::of(body) : nullptr,
+       most = parts_.mostConfig](const Value& current, Value& next) {
+        auto verdict = decide(*document, text, whole, base, digest, fewest, current, next);
+        if (verdict.kind == Climber::Verdict::Kind::put && next.config->text().size() > most) {
+          verdict.kind = Climber::Verdict::Kind::refuse;
+          verdict.error = ErrorKind::invalidConfig;
+          verdict.detail = "larger than the " + std::to_string(most) + " bytes that the disks take";
+        }
+        return verdict;
       },
       kCallLimit + cairn::extraTime(body.size()),
       [this, visit, document](const Climber::Result& result) {
--- a/src/process/office.hpp
+++ b/src/process/office.hpp
@@ -1,6 +1,7 @@
 // office: the calls of servers and operators.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -28,6 +29,7 @@
     std::function<bool()> ready;
     std::size_t fewestVoters = 1;  // below which no change is taken
     std::function<void(const std::string&)> log;
+    std::size_t mostConfig = SIZE_MAX;  // bytes
   };
   explicit Office(Parts parts) : parts_(std::move(parts)) {}
   void visit(const saddle::Visit::Ptr& visit);
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -117,7 +117,8 @@
       },
       [this](const InstanceId& id) { return beatTarget(id); }, [this] { return status(); },
       [this] { return ready(); }, 2 * settings_.tolerance + 1,
-      [](const std::string& text) { logOf("hut").information(text); }});
+      [](const std::string& text) { logOf("hut").information(text); },
+      cellar_ ? cellar_->mostText() : kControlBody});
   if (!settings_.wayIn().empty()) {
     const bool gateway = !settings_.frontend.empty();
     std::unique_ptr<trail::Approach> approach;
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -12,6 +12,12 @@
 constexpr int kBackOffSteps = 4;
 constexpr Span kRoundMost = std::chrono::seconds(4);
 constexpr Span kFetchTime = std::chrono::seconds(2);
+// No honest round is so far above what a voter has promised; one such message would leave no number
+// for those that come after it.
+constexpr std::uint64_t kBallotJump = 1ULL << 40U;
+constexpr std::uint64_t kMostBallot = 1ULL << 62U;
+constexpr std::size_t kLivesKept = 32;  // of one node; docs/register.md says why so many do
+constexpr std::size_t kLivesNodes = 64;
 
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
@@ -35,7 +41,9 @@
 json toJson(const Ballot& ballot) { return json::array({ballot.number, ballot.by.str()}); }
 
 Ballot ballotFrom(const json& j) {
-  return {j.at(0).get<std::uint64_t>(), NodeId(j.at(1).get<std::string>())};
+  const Ballot ballot{j.at(0).get<std::uint64_t>(), NodeId(j.at(1).get<std::string>())};
+  if (ballot.number > kMostBallot) throw std::out_of_range("ballot");
+  return ballot;
 }
 
 namespace {
@@ -127,6 +135,7 @@
     out["l"] = std::move(lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
+    if (ask.text != 0) out["x"] = ask.text;
   } else if (ask.kind == Ask::Kind::fetch) {
     out["x"] = ask.text;
   } else if (!ask.have.empty()) {
@@ -150,6 +159,7 @@
     }
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
+    ask.text = j.value("x", std::uint64_t{0});
   } else {
     ask.have = j.value("h", "");
     ask.text = j.value("x", std::uint64_t{0});
@@ -160,6 +170,7 @@
 json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf, bool spare) {
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
+  if (reply.copied) out["c"] = true;
   if (reply.text != 0) out["x"] = reply.text;
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
@@ -176,6 +187,7 @@
   Reply reply;
   reply.ok = j.at("o").get<bool>();
   reply.asleep = j.value("z", false);
+  reply.copied = j.value("c", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
   reply.promised = ballotFrom(j.at("p"));
@@ -202,6 +214,7 @@
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
   const json head = {{"life", life_.value},
                      {"awake", awake_},
+                     {"copied", copied_},
                      {"promised", toJson(promised_)},
                      {"accepted", toJson(accepted_)},
                      {"value", toJson(value_, apart)},
@@ -216,6 +229,7 @@
     shelf.put(record.text);
     Ledge ledge(std::move(self), Life{saved.at("life").get<std::uint64_t>()},
                 saved.at("awake").get<bool>());
+    ledge.copied_ = saved.value("copied", false);
     ledge.promised_ = ballotFrom(saved.at("promised"));
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
@@ -230,9 +244,19 @@
   }
 }
 
+std::optional<Ledge::Saved> Ledge::fenced(const Saved& saved, Life life) {
+  auto ledge = restore(NodeId(), saved);
+  if (!ledge) return std::nullopt;
+  ledge->life_ = life;
+  ledge->awake_ = false;
+  ledge->copied_ = true;
+  return ledge->save();
+}
+
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
+  return {ok,        !awake_,   life_,
+          promised_, accepted_, value_,
+          copied_,   same,      value_.config ? value_.config->id() : 0};
 }
 
 // False where the life named is over.
@@ -241,11 +265,23 @@
   if (!list.empty() && list.back() == life) return true;
   if (std::find(list.begin(), list.end(), life) != list.end()) return false;
   list.push_back(life);
+  if (list.size() > kLivesKept) list.erase(list.begin());
   return true;
 }
 
+// Of nodes that are no voters nothing is needed: what names them is of an older epoch.
+void Ledge::forgetLives(const NodeId& but) {
+  if (lives_.size() <= kLivesNodes) return;
+  std::erase_if(lives_, [&](const auto& entry) {
+    const auto& before = value_.before;
+    return entry.first != but && !value_.isVoter(entry.first) &&
+           std::find(before.begin(), before.end(), entry.first) == before.end();
+  });
+}
+
 Ledge::Out Ledge::ask(const Ask& ask) {
   if (!awake_) return {answer(false), false};
+  if (ask.ballot.number > promised_.number + kBallotJump) return {answer(false), false};
   switch (ask.kind) {
     case Ask::Kind::prepare:
       if (ask.ballot < promised_) return {answer(false), false};
@@ -264,10 +300,13 @@
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
+      copied_ = false;
+      forgetLives(self_);
       return {answer(true, true), true};  // the asker wrote it
     }
     case Ask::Kind::rejoin:
       if (!learnLife(ask.from, ask.life)) return {answer(false), false};
+      forgetLives(ask.from);
       return {answer(true), true};
     case Ask::Kind::fetch:
       return {answer(true), false};
@@ -307,6 +346,7 @@
     if (r.accepted > accepted_) {
       accepted_ = r.accepted;
       value_ = r.value;
+      copied_ = true;
     }
   }
   awake_ = true;
@@ -375,7 +415,7 @@
 
 bool Climber::everySame() const {
   for (const auto& [node, promise] : promises_) {
-    if (promise.accepted != bestBallot_) return false;
+    if (promise.accepted != bestBallot_ || promise.copied) return false;
   }
   return true;
 }
@@ -401,7 +441,8 @@
     return {};
   }
   if (fetching_) {
-    if (!reply.value.config || reply.value.config->id() != bestValue_.absent) return {};
+    // The voter holds a newer value by now, and the text has gone: the newer one is read.
+    if (!reply.value.config || reply.value.config->id() != bestValue_.absent) return newRound(now);
     bestValue_.config = reply.value.config;
     bestValue_.absent = 0;
     return promised(now);
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -71,8 +71,8 @@
   std::map<NodeId, Life> lives;  // accept: the lives that promised
   Life life;                     // rejoin: the asker's new life
   std::string have;              // prepare: stamp of the value the asker holds already
-  std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
-                                 // accept (not sent): the reader's
+  std::uint64_t text = 0;        // prepare, rejoin: a text that the asker has; fetch: the one it
+                                 // wants; accept (not sent): the reader's
 };
 
 struct Reply {
@@ -82,6 +82,7 @@
   Ballot promised;
   Ballot accepted;
   Value value;
+  bool copied = false;     // the value was taken over from others, not accepted here
   bool same = false;       // the value is the one the asker holds: it is not sent again
   std::uint64_t text = 0;  // which text this voter has
 };
@@ -105,6 +106,8 @@
   };
   static std::optional<Ledge> restore(NodeId self, const Saved& saved);
   [[nodiscard]] Saved save() const;
+  // The same as of a voter that has lost its promises: a new life, asleep.
+  static std::optional<Saved> fenced(const Saved& saved, Life life);
 
   struct Out {
     Reply reply;
@@ -124,6 +127,7 @@
  private:
   [[nodiscard]] Reply answer(bool ok, bool same = false) const;
   bool learnLife(const NodeId& node, Life life);
+  void forgetLives(const NodeId& but);
 
   NodeId self_;
   Life life_;
@@ -131,6 +135,7 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
+  bool copied_ = false;  // taken over at the wake-up: no proof that it was accepted here
   std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
   std::map<NodeId, Reply> rejoin_;
 };
--- a/tests/storm.cpp
+++ b/tests/storm.cpp
@@ -1,6 +1,6 @@
 // Real core processes while the configuration changes again and again: one is down during many
-// changes, one comes back with an empty disk, one is new, one is killed again and again. Each has to
-// catch up while the changes go on. Waits are generous; the times taken are printed.
+// changes, one comes back with an empty disk, one is new, one is killed again and again. Each has
+// to catch up while the changes go on. Waits are generous; the times taken are printed.
 #include <sys/stat.h>
 
 #include <atomic>
@@ -46,7 +46,8 @@
     running_ = true;
     thread_ = std::thread([this] {
       while (running_) {
-        const auto next = std::chrono::steady_clock::now() + std::chrono::milliseconds(sizes_.gapMs);
+        const auto next =
+            std::chrono::steady_clock::now() + std::chrono::milliseconds(sizes_.gapMs);
         const int base = taken_;
         const auto body = large(base + 1, sizes_.routes);
         while (running_) {
@@ -95,9 +96,7 @@
 
 void play(const std::string& program, const Sizes& sizes) {
   Mesh mesh(program, "127.94");
-  mesh.adjust = [](json& settings) {
-    settings["policy_terms"]["fault_tolerance"]["machines"] = 1;
-  };
+  mesh.adjust = [](json& settings) { settings["policy_terms"]["fault_tolerance"]["machines"] = 1; };
   std::vector<std::string> cores;
   for (int i = 1; i <= 3; ++i) cores.push_back("127.94.0." + std::to_string(i));
   for (const auto& ip : cores) mesh.start(ip, Mesh::Kind::core, true);
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -28,6 +28,9 @@
   bool full = false;
   double frozenUntil = 0;
   Value known;
+  std::optional<Ledge::Saved> snapshot;
+  double bootAt = -1;            // until it has caught up
+  std::uint64_t bootBehind = 0;  // what had been acknowledged by then
   cairn::Shelf shelf;
   double ahead = -1;
 };
@@ -64,6 +67,14 @@
   void play(std::map<std::string, double>& out) {
     const double length = number(s_, "length", 6000);
     for (const auto* line : linesOf(s_, "at")) schedule(*line);
+    for (const auto* line : linesOf(s_, "every")) {  // every MS WHAT ..., in the middle of the run
+      const double step = std::stod(line->words.at(1));
+      for (double at = step; at < length * 0.8; at += step) {
+        Line once = *line;
+        once.words[1] = std::to_string(at);
+        schedule(once);
+      }
+    }
     for (const auto* line : linesOf(s_, "random")) {
       const int count = std::stoi(line->words.at(2));
       for (int i = 0; i < count; ++i) {
@@ -102,7 +113,17 @@
       refused += call->end == Call::End::refused ? 1 : 0;
       unclear += call->end == Call::End::unclear ? 1 : 0;
     }
+    double lives = 0;  // most that a voter keeps of one node
+    for (const auto& m : machines_) {
+      if (!m->ledge) continue;
+      const auto head = nlohmann::json::parse(m->ledge->save().head);
+      for (const auto& list : head.at("lives")) {
+        lives = std::max(lives, static_cast<double>(list.size()));
+      }
+    }
+    double behind = 0;
     double awake = 0;
+    for (const auto& m : machines_) behind += m->ledge && m->bootAt >= 0 ? 1 : 0;
     for (const auto& m : machines_) awake += m->ledge && m->ledge->awake() ? 1 : 0;
     out = {{"acked", acked},
            {"reads", reads},
@@ -111,6 +132,10 @@
            {"awake", awake},
            {"voters", static_cast<double>(last->seen.voters.size())},
            {"epoch", static_cast<double>(last->seen.epoch)},
+           {"lives", lives},
+           {"boots", boots_},
+           {"behind", behind},
+           {"catch_up_ms", slowest_},
            {"broken", broken}};
   }
 
@@ -135,6 +160,21 @@
         startRead(machine(w.at(3)));
       } else if (what == "kill" || what == "power" || what == "wipe") {
         down(machine(w.at(3)), what == "wipe", std::stod(w.at(4)));
+      } else if (what == "snap") {
+        machine(w.at(3)).snapshot = machine(w.at(3)).disk;
+      } else if (what == "back") {  // back NODE MS: its disk is put back as the snapshot was
+        auto& m = machine(w.at(3));
+        down(m, true, std::stod(w.at(4)));
+        if (m.snapshot) {
+          // A fault of its own: the promises since are forgotten, and nobody is asked.
+          m.disk = fault("unfenced") ? m.snapshot
+                                     : Ledge::fenced(*m.snapshot, Life{clock_.random() >> 1});
+          m.wiped = false;
+        }
+      } else if (what == "slow") {  // slow FROM TO MORE_MS FOR_MS
+        const auto link = w.at(3) + ">" + w.at(4);
+        slow_[link] = std::stod(w.at(5));
+        clock_.after(std::stod(w.at(6)), [this, link] { slow_.erase(link); });
       } else if (what == "hang") {
         machine(w.at(3)).hungUntil = clock_.ms() + std::stod(w.at(4));
       } else if (what == "full") {
@@ -187,6 +227,15 @@
     m.shelf = cairn::Shelf();
     m.shelf.put(m.ledge->value().config);
     m.wiped = false;
+    m.bootAt = clock_.ms();
+    m.bootBehind = ackedSequence_;
+    ++boots_;
+  }
+
+  void watchCatchUp(Machine& m) {
+    if (m.bootAt < 0 || !m.ledge->awake() || m.ledge->value().sequence < m.bootBehind) return;
+    slowest_ = std::max(slowest_, clock_.ms() - m.bootAt);
+    m.bootAt = -1;
   }
 
   std::size_t pickLive() {
@@ -319,6 +368,9 @@
     if (result.chosen.sequence > m.known.sequence) m.known = result.chosen;
     m.shelf.put(m.known.config);
     m.ahead = -1;
+    if (call.end == Call::End::ok) {
+      ackedSequence_ = std::max(ackedSequence_, result.chosen.sequence);
+    }
     if (call.end == Call::End::ok) newest_ = std::max(newest_, call.revision);
   }
 
@@ -332,6 +384,9 @@
     const double low = delays.empty() ? 0.5 : std::stod(delays[0]->words.at(1));
     const double high = delays.empty() ? 3 : std::stod(delays[0]->words.at(2));
     double wait = from == to ? 0 : clock_.uniform(low, high);
+    if (const auto it = slow_.find(from.str() + ">" + to.str()); it != slow_.end()) {
+      wait += it->second;
+    }
     const double frozen = machine(to.str()).frozenUntil - clock_.ms();
     if (frozen > 0) wait += frozen;
     clock_.after(wait, std::move(work));
@@ -364,6 +419,7 @@
     for (auto& owned : machines_) {
       auto& m = *owned;
       if (!m.ledge || m.frozenUntil > clock_.ms()) continue;
+      watchCatchUp(m);
       if (const auto ask = m.ledge->rejoinAsk()) {
         for (const auto& voter : m.known.voters) {
           if (voter == m.id) continue;
@@ -444,6 +500,10 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<std::shared_ptr<Call>> calls_;
   std::set<NodeId> cuts_;
+  std::map<std::string, double> slow_;  // FROM>TO, ms more
+  std::uint64_t ackedSequence_ = 0;
+  double boots_ = 0;
+  double slowest_ = 0;
   std::int64_t newest_ = 0;
   int digests_ = 0;
   bool healed_ = false;
