--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -63,6 +63,7 @@
 
   Parts parts_;
   std::mt19937_64 random_;
+  Instant startedAt_;
   std::optional<cairn::Ledge> ledge_;
   cairn::Value known_;
   std::map<std::uint64_t, std::string> knownTexts_;
@@ -74,6 +75,7 @@
   bool changingVoters_ = false;
   std::optional<Instant> aheadSince_;
   Instant rejoinAt_;
+  std::set<NodeId> rejoinAsked_;  // who has not answered yet
 };
 
 }  // namespace merlin::hut
