--- /dev/null
+++ b/tests/faults.cpp
@@ -0,0 +1,487 @@
+// Every step of a request x every fault: the real egress, ingress, edge, pools and framing between
+// scripted ends, on real sockets, each case on addresses of its own. The cases are enumerated; what
+// counts is who got what and how often a server saw a request, never how long anything took.
+//   faultstest CASES           all of them; there must be so many, and no violation
+//   faultstest --finds KIND    some of them, on a mutant: a violation of this kind must be found
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include "request/egress.hpp"
+#include "request/ingress.hpp"
+#include "stage.hpp"
+#include "version/chart.hpp"
+
+namespace merlin::test {
+namespace {
+
+constexpr std::uint16_t kWayIn = 21901;
+constexpr std::uint16_t kWayInBehind = 21902;  // where the real one stands behind a link
+constexpr std::uint16_t kIngressAt = 21903;
+constexpr std::uint16_t kIngressBehind = 21904;
+constexpr std::uint16_t kAppAt = 21905;
+constexpr std::uint16_t kAppBehind = 21906;
+constexpr std::uint16_t kTaken = 21907;  // whoever takes an address over
+constexpr double kSettleMs = 150;
+constexpr double kGiveUpMs = 20000;  // far above every limit: whatever waits still, hangs
+constexpr int kWarmings = 60;
+constexpr int kTries = 4;  // where a busy machine kept the request from reaching the step
+constexpr std::size_t kThreads = 4;
+constexpr std::size_t kAtOnce = 48;  // cases on one loop
+
+enum class Where : std::uint8_t { client, ingress, server };
+constexpr std::array<const char*, 3> kWhereNames = {"client", "ingress", "server"};
+
+// Which steps each fault is played at.
+constexpr unsigned bit(Step step) { return 1U << static_cast<unsigned>(step); }
+constexpr unsigned kAll = bit(Step::count_) - 1;
+// Bytes put in are bytes of the answer once its head is out: nobody could tell them apart.
+constexpr unsigned kBetween = (bit(Step::answerHead) - 1) | bit(Step::end);
+struct Row {
+  const char* name;
+  unsigned steps;
+  bool atClient;  // played between client and node too
+};
+constexpr std::array<Row, static_cast<std::size_t>(Fault::count_)> kFaults = {{
+    {"silence", kAll, true},
+    {"frozen", kAll, true},
+    {"reset", kAll, true},
+    {"close", kAll, true},
+    {"half-near", kAll, true},
+    {"half-far", kAll, true},
+    {"killed", kAll, false},
+    {"taken-over", kAll, false},
+    {"own-answer", kBetween & ~bit(Step::opened), false},
+    {"stray-answer", kBetween, false},
+    {"surplus", kBetween, false},
+    {"other-id", bit(Step::answerHead), false},
+    {"no-id", bit(Step::answerHead), false},
+}};
+
+struct Case {
+  bool gateway = false;
+  Where where = Where::server;
+  bool once = false;
+  bool kept = false;
+  bool piped = false;
+  bool big = false;
+  Step step = Step::opened;
+  Fault fault = Fault::silence;
+  [[nodiscard]] std::string name() const {
+    return std::string(gateway ? "gateway " : "mesh ") + kWhereNames.at(static_cast<int>(where)) +
+           (once ? " once" : " safe") + (kept ? " kept" : " fresh") +
+           (piped ? " piped" : " single") + (big ? " long " : " short ") +
+           kStepNames.at(static_cast<std::size_t>(step)) + " " +
+           kFaults.at(static_cast<std::size_t>(fault)).name;
+  }
+};
+
+std::vector<Case> enumerate() {
+  std::vector<Case> out;
+  Case c;
+  for (const bool gateway : {false, true}) {
+    for (const auto where : {Where::client, Where::ingress, Where::server}) {
+      if (gateway && where == Where::ingress) continue;
+      for (unsigned flags = 0; flags < 16; ++flags) {
+        c.gateway = gateway;
+        c.where = where;
+        c.once = (flags & 1) != 0;
+        c.kept = (flags & 2) != 0;
+        c.piped = (flags & 4) != 0;
+        c.big = (flags & 8) != 0;
+        for (unsigned f = 0; f < kFaults.size(); ++f) {
+          const auto& row = kFaults.at(f);
+          if (where == Where::client && !row.atClient) continue;
+          for (unsigned s = 0; s < static_cast<unsigned>(Step::count_); ++s) {
+            c.step = static_cast<Step>(s);
+            c.fault = static_cast<Fault>(f);
+            // How long the answer is makes no difference before it begins.
+            const bool lengthMatters = c.step >= Step::answerHead;
+            if ((row.steps & bit(c.step)) == 0 || (c.big && !lengthMatters)) continue;
+            if (c.step == Step::interim && where != Where::ingress) continue;
+            out.push_back(c);
+          }
+        }
+      }
+    }
+  }
+  return out;
+}
+
+SocketAddress addressOf(std::size_t number, int which, std::uint16_t port) {
+  // Runs side by side stay apart.
+  const auto run = 100 + static_cast<unsigned>(::getpid()) % 100;
+  const auto host = number * 2 + static_cast<std::size_t>(which);
+  return {"127." + std::to_string(run) + "." + std::to_string(host / 250) + "." +
+              std::to_string(1 + host % 250),
+          port};
+}
+
+cairn::Chart::Ptr chart() {
+  static const auto made = [] {
+    const auto rule = [](const char* name, const char* prefix, const char* type) {
+      return nlohmann::json{{"name", name},
+                            {"hostname", "echo.example"},
+                            {"path_prefix", prefix},
+                            {"route_type", type},
+                            {"timeout_s", 5},
+                            {"max_attempts", 2},
+                            {"target_service", "echo"}};
+    };
+    return cairn::Chart::read(
+               {{"revision", 1},
+                {"route_rules",
+                 {rule("once", "/once/", "non_idempotent"), rule("safe", "/safe/", "idempotent")}},
+                {"services", {{{"name", "echo"}}}}})
+        .chart;
+  }();
+  return made;
+}
+
+// One case: a node that takes requests, two servers (in a mesh each with a node beside it), the
+// links that may be struck, a client. Stays where it is until the process ends.
+class Play {
+ public:
+  Play(Bell& bell, const Case& c, std::size_t number, std::function<void(Play&)> done)
+      : bell_(bell),
+        case_(c),
+        done_(std::move(done)),
+        book_({NodeId("n"), ZoneName("z"), false, false, false, 0, Life{}}, Life{1}),
+        // As the warden has them.
+        ropes_(bell, c.gateway ? saddle::Ropes::Config{std::chrono::milliseconds(300),
+                                                       std::chrono::seconds(9), 8, 700}
+                               : saddle::Ropes::Config{std::chrono::milliseconds(300),
+                                                       std::chrono::seconds(20), 64, 0}) {
+    trap_.step = c.step;
+    trap_.fault = c.fault;
+    trap_.target = "target";
+    trap_.big = c.big;
+    std::unique_ptr<trail::Approach> approach;
+    if (c.gateway) {
+      approach = std::make_unique<trail::Direct>();
+    } else {
+      approach = std::make_unique<trail::ThroughIngress>(kIngressAt);
+    }
+    egress_ = std::make_unique<trail::Egress>(trail::Egress::Parts{
+        bell, ropes_, book_, [] { return chart(); }, [] { return true; }, std::move(approach),
+        ServiceName("front"), NodeId("n"), ZoneName("z"), c.gateway,
+        trail::TollTerms{0.2, 60, std::chrono::seconds(10)}, number + 1});
+    egress_->setFleet({{NodeId("n"), ZoneName("z")}}, 1);
+    for (int i = 0; i < 2; ++i) addServer(number, i);
+    way_ = addressOf(number, 0, kWayIn);
+    const auto behind = addressOf(number, 0, kWayInBehind);
+    const bool linked = c.where == Where::client;
+    door_ = std::make_unique<saddle::Door>(bell, linked ? behind : way_, 64);
+    door_->reception->onVisit = [this](const auto& visit) { egress_->visit(visit); };
+    door_->reception->mayRunAhead = [this](const auto& v) { return egress_->mayRunAhead(v); };
+    if (linked) link(way_, behind, behind, 0);
+    bell_.after(fromMillis(kGiveUpMs), [this] {
+      if (over_) return;
+      ledger_.wrong("hung", "waits in stage " + std::to_string(stage_));
+      finish();
+    });
+    caller_ = newCaller();
+    next();
+  }
+
+  [[nodiscard]] const Case& what() const { return case_; }
+  [[nodiscard]] const Ledger& ledger() const { return ledger_; }
+  [[nodiscard]] bool struck() const { return trap_.fired; }
+  [[nodiscard]] int served() const { return served_; }
+
+ private:
+  struct Site {
+    std::unique_ptr<saddle::Ropes> ropes;
+    std::unique_ptr<cairn::Guestbook> book;
+    std::unique_ptr<trail::Ingress> ingress;
+    std::unique_ptr<saddle::Door> door;
+  };
+
+  void addServer(std::size_t number, int i) {
+    cairn::Server server;
+    server.id = InstanceId("i" + std::to_string(i));
+    server.service = ServiceName("echo");
+    server.address = addressOf(number, i, kAppAt).toString();
+    server.zone = ZoneName("z");
+    server.slots = 64;
+    server.sequence = 1;
+    book_.beat(server, bell_.now());
+    const auto taken = addressOf(number, i, kTaken);
+    const auto app = [&](const SocketAddress& at, const std::string& id) {
+      standIns_.push_back(std::make_unique<StandIn>(bell_, at, id, i, ledger_));
+    };
+    const bool linked = case_.where == Where::server;
+    app(addressOf(number, i, linked ? kAppBehind : kAppAt), server.id.str());
+    if (linked) {
+      app(taken, "another life");
+      link(addressOf(number, i, kAppAt), addressOf(number, i, kAppBehind), taken, i);
+    }
+    if (case_.gateway) return;
+    auto& site = sites_.at(static_cast<std::size_t>(i));
+    site.ropes = std::make_unique<saddle::Ropes>(
+        bell_,
+        saddle::Ropes::Config{std::chrono::milliseconds(400), std::chrono::seconds(20), 64, 0});
+    site.book = std::make_unique<cairn::Guestbook>(
+        cairn::NodeFacts{NodeId("s"), ZoneName("z"), false, false, false, 0, Life{}}, Life{1});
+    site.book->beat(server, bell_.now());
+    site.ingress = std::make_unique<trail::Ingress>(trail::Ingress::Parts{
+        bell_, *site.ropes, server.address,
+        [book = site.book.get()](const InstanceId& id) { return book->heardHere(id); },
+        std::chrono::seconds(1), [](const InstanceId&) {}, [](const InstanceId&, int) {}});
+    site.ingress->heard(server, bell_.now());
+    const auto front = addressOf(number, i, kIngressAt);
+    const auto behind = addressOf(number, i, kIngressBehind);
+    const bool before = case_.where == Where::ingress;
+    site.door = std::make_unique<saddle::Door>(bell_, before ? behind : front, 64);
+    site.door->reception->onVisit = [in = site.ingress.get()](const auto& v) { in->visit(v); };
+    // Who takes the address over is the node beside the other server.
+    if (before) link(front, behind, addressOf(number, 1 - i, kIngressBehind), i);
+  }
+
+  void link(const SocketAddress& at, const SocketAddress& to, const SocketAddress& other, int i) {
+    links_.push_back(std::make_unique<Link>(bell_, at, to, other, i, case_.where == Where::client,
+                                            ledger_, trap_));
+  }
+
+  std::unique_ptr<Caller> newCaller() {
+    auto caller = std::make_unique<Caller>(bell_, way_, ledger_);
+    caller->onIdle = [this] {
+      if (std::exchange(asking_, false)) after(0);
+    };
+    return caller;
+  }
+  void after(double ms) {
+    bell_.after(fromMillis(ms), [this] {
+      if (!over_) next();
+    });
+  }
+  void ask(const std::vector<std::pair<std::string, std::string>>& requests) {
+    if (!caller_->open()) caller_ = newCaller();
+    for (const auto& [path, id] : requests) {
+      if (path.find("/once/") != std::string::npos) once_.insert(id);
+      asked_.push_back(id);
+    }
+    asking_ = true;
+    caller_->ask(requests);
+  }
+  [[nodiscard]] bool warm() const {
+    if (!case_.kept || case_.where == Where::client) return !case_.kept || stage_ > 0;
+    return std::all_of(links_.begin(), links_.end(), [](const auto& l) { return l->open() > 0; });
+  }
+
+  // What the client does, one step after the other.
+  void next() {
+    const auto length = std::string(case_.big ? "/big" : "/short");
+    const auto safe = "/safe" + length;
+    const auto once = "/once" + length;
+    if (stage_ < kWarmings) {
+      if (!warm()) {
+        ask({{safe, "w" + std::to_string(stage_++)}});
+        return;
+      }
+      stage_ = kWarmings;
+    }
+    switch (stage_++) {
+      case kWarmings: {
+        trap_.armed = true;
+        if (case_.kept && case_.step == Step::opened) {
+          for (const auto& l : links_) l->strikeIdle();
+        }
+        const auto path = case_.once ? once : safe;
+        if (case_.piped) {
+          ask({{safe, "p1"}, {path, trap_.target}, {safe, "p2"}});
+        } else {
+          ask({{path, trap_.target}});
+        }
+        return;
+      }
+      case kWarmings + 1:
+        ask({{once, "f1"}});
+        return;
+      case kWarmings + 2:
+        ask({{safe, "f2"}});
+        return;
+      case kWarmings + 3:
+        if (trap_.fired && !trap_.over) --stage_;
+        after(kSettleMs);
+        return;
+      case kWarmings + 4:
+        ask({{safe, "f3"}});
+        return;
+      case kWarmings + 5:
+        ask({{once, "f4"}});
+        return;
+      case kWarmings + 6:
+        after(kSettleMs);
+        return;
+      default:
+        finish();
+    }
+  }
+
+  void finish() {
+    over_ = true;
+    for (const auto& id : asked_) judge(id);
+    caller_.reset();
+    for (const auto& l : links_) l->close();
+    for (const auto& s : standIns_) s->close();
+    for (auto& site : sites_) site.door.reset();
+    door_.reset();
+    done_(*this);
+  }
+
+  void judge(const std::string& id) {
+    const auto status = ledger_.statuses.contains(id) ? ledger_.statuses.at(id) : 0;
+    const auto count = [&](const auto& map) { return map.contains(id) ? map.at(id) : 0; };
+    const int runs = count(ledger_.runs);
+    const int proofs = count(ledger_.proofs);
+    const auto peers = [&](const auto& map) {
+      return map.contains(id) ? static_cast<int>(map.at(id).size()) : 0;
+    };
+    const int offers = case_.where == Where::client ? 0 : peers(ledger_.offered);
+    served_ += status == 200 ? 1 : 0;
+    const auto told = id + ": " + std::to_string(status) + ", runs " + std::to_string(runs) +
+                      ", offered to " + std::to_string(offers) + ", proofs " +
+                      std::to_string(proofs);
+    if (once_.contains(id) && (runs > 1 || offers - proofs > 1)) ledger_.wrong("twice", told);
+    if (peers(ledger_.runAt) > 2) ledger_.wrong("often", told);
+    const bool promised = status == 503 || status == 429 || status == 408 || status == 421;
+    if (promised && runs > 0) ledger_.wrong("promise", told);
+    if (status == 200 && runs == 0) ledger_.wrong("made up", told);
+  }
+
+  Bell& bell_;
+  Case case_;
+  std::function<void(Play&)> done_;
+  Ledger ledger_;
+  Trap trap_;
+  cairn::Guestbook book_;
+  saddle::Ropes ropes_;
+  std::unique_ptr<trail::Egress> egress_;
+  std::array<Site, 2> sites_;
+  std::unique_ptr<saddle::Door> door_;
+  std::vector<std::unique_ptr<StandIn>> standIns_;
+  std::vector<std::unique_ptr<Link>> links_;
+  SocketAddress way_;
+  std::unique_ptr<Caller> caller_;
+  std::set<std::string> once_;
+  std::vector<std::string> asked_;
+  int stage_ = 0;
+  int served_ = 0;
+  bool asking_ = false;
+  bool over_ = false;
+};
+
+struct Tally {
+  std::mutex lock;
+  std::size_t played = 0;
+  std::size_t skipped = 0;
+  std::size_t again = 0;
+  std::size_t served = 0;
+  std::map<std::string, std::size_t> kinds;
+  std::vector<std::string> lines;
+};
+
+// Plays its share of the cases on a loop of its own.
+void work(const std::vector<Case>& cases, std::size_t first, std::size_t stride, Tally& tally) {
+  auto& bell = *new Bell;  // lives as long as the plays on it: to the end of the process
+  auto& plays = *new std::deque<std::unique_ptr<Play>>;
+  std::size_t next = first;
+  std::size_t running = 0;
+  std::map<std::size_t, int> tries;
+  std::function<void()> fill;
+  std::function<void(std::size_t)> begin = [&](std::size_t number) {
+    ++running;
+    plays.push_back(std::make_unique<Play>(bell, cases[number], number, [&, number](Play& play) {
+      const bool once_more =
+          !play.struck() && play.ledger().broken.empty() && ++tries[number] < kTries;
+      {
+        const std::lock_guard<std::mutex> hold(tally.lock);
+        tally.again += once_more ? 1 : 0;
+        if (!once_more) {
+          ++tally.played;
+          tally.skipped += play.struck() ? 0 : 1;
+          tally.served += static_cast<std::size_t>(play.served());
+          if (!play.struck()) tally.lines.push_back("never struck: " + play.what().name());
+          for (const auto& [kind, what] : play.ledger().broken) {
+            ++tally.kinds[kind];
+            tally.lines.push_back(kind + ": " + play.what().name() + ": " + what);
+          }
+        }
+      }
+      bell.after(fromMillis(20), [&, number, once_more] {
+        --running;
+        if (once_more) begin(number);
+        fill();
+      });
+    }));
+  };
+  fill = [&] {
+    while (running < kAtOnce && next < cases.size()) {
+      const auto number = next;
+      next += stride;
+      begin(number);
+    }
+    if (running == 0) bell.stop();
+  };
+  bell.later(fill);
+  bell.run();
+}
+
+int run(const std::string& finds, std::size_t expected, const std::string& filter) {
+  auto cases = enumerate();
+  std::cout << cases.size() << " cases\n";
+  if (finds.empty() && cases.size() != expected) {
+    std::cout << "FAILED: " << expected << " were expected\n";
+    return 1;
+  }
+  std::erase_if(cases, [&](const Case& c) {
+    // A mutant is shown some of them, short ones.
+    const bool left = !finds.empty() && (c.big || c.fault == Fault::frozen);
+    return left || c.name().find(filter) == std::string::npos;
+  });
+  auto& tally = *new Tally;
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&, i] { work(cases, i, kThreads, tally); });
+  }
+  for (auto& thread : threads) thread.join();
+  std::sort(tally.lines.begin(), tally.lines.end());
+  for (std::size_t i = 0; i < std::min<std::size_t>(tally.lines.size(), 60); ++i) {
+    std::cout << tally.lines[i] << "\n";
+  }
+  std::cout << tally.played << " played, " << tally.skipped << " skipped, " << tally.again
+            << " played again, " << tally.served << " requests served\n";
+  for (const auto& [kind, n] : tally.kinds)
+    std::cout << "violations, " << kind << ": " << n << "\n";
+  if (!finds.empty()) return tally.kinds.contains(finds) ? 0 : 1;
+  const bool sound = tally.kinds.empty() && tally.skipped == 0 && tally.played == cases.size() &&
+                     tally.served > 2 * cases.size();
+  return sound ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace merlin::test
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  rlimit files{};
+  ::getrlimit(RLIMIT_NOFILE, &files);
+  files.rlim_cur = files.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &files);
+  const std::string first = argc > 1 ? argv[1] : "0";
+  int code = 1;
+  if (first == "--finds" && argc > 2) {
+    code = merlin::test::run(argv[2], 0, argc > 3 ? argv[3] : "");
+  } else {
+    code = merlin::test::run("", std::stoul(first), argc > 2 ? argv[2] : "");
+  }
+  std::cout.flush();
+  std::_Exit(code);  // loops and plays are left as they are
+}
