--- a/tests/hosts.hpp
+++ b/tests/hosts.hpp
@@ -279,15 +279,19 @@
       .dump();
 }
 
-inline std::string raw(const std::string& address, const std::string& bytes) {
+// What comes back, up to the end, to `until` or to three seconds of silence.
+inline std::string raw(const std::string& address, const std::string& bytes,
+                       const std::string& until = "") {
   net::StreamSocket socket{net::SocketAddress(address)};
   socket.setReceiveTimeout(Poco::Timespan(3, 0));
   socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
   std::string out;
   char chunk[1024];
   try {
-    for (int n = 0; (n = socket.receiveBytes(chunk, sizeof chunk)) > 0;)
+    for (int n = 0; (n = socket.receiveBytes(chunk, sizeof chunk)) > 0;) {
       out.append(chunk, static_cast<std::size_t>(n));
+      if (!until.empty() && out.find(until) != std::string::npos) break;
+    }
   } catch (const Poco::Exception&) {
     out += "(open)";
   }
