--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -483,6 +483,29 @@
   result_ = std::move(result);
 }
 
+json Climber::state() const {
+  json promises = json::object();
+  for (const auto& [node, reply] : promises_) {
+    promises[node.str()] = {reply.life.value, toJson(reply.accepted)};
+  }
+  json accepts = json::array();
+  for (const auto& node : accepts_) accepts.push_back(node.str());
+  json out = {{"basis", {basis_.epoch, basis_.stamp}},
+              {"round", round_},
+              {"highest", highest_},
+              {"ballot", toJson(ballot_)},
+              {"phase", waiting_     ? "wait"
+                        : fetching_  ? "fetch"
+                        : accepting_ ? "accept"
+                                     : "prepare"},
+              {"best", toJson(bestBallot_)},
+              {"promises", std::move(promises)},
+              {"accepts", std::move(accepts)}};
+  if (accepting_) out["next"] = next_.stamp;
+  if (result_) out["result"] = {result_->ok, result_->known, result_->chosen.stamp};
+  return out;
+}
+
 std::vector<Climber::Send> Climber::tick(Instant now) {
   if (result_) return {};
   if (now >= ends_) {
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -170,6 +170,8 @@
   [[nodiscard]] const std::optional<Result>& result() const { return result_; }
   // When `tick` is next wanted.
   [[nodiscard]] Instant wake() const { return std::min(roundEnds_, ends_); }
+  // For diagnostics: everything that decides what it does next, but times and texts.
+  [[nodiscard]] nlohmann::json state() const;
   // A text at hand besides the basis', so that voters need not send it.
   void holds(const Signboard::Ptr& text) { held_ = text; }
 
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -74,6 +74,8 @@
     try {
       if (world == "register") {
         playRegister(scenario, seed, measured);
+      } else if (world == "explore") {
+        playExplore(scenario, measured);
       } else if (world == "path") {
         playPath(scenario, seed, measured);
       } else if (world == "news") {
--- a/tests/runner.hpp
+++ b/tests/runner.hpp
@@ -75,6 +75,7 @@
 void playNews(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playDisk(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
 void playRange(const Scenario& scenario, std::uint64_t seed, std::map<std::string, double>& out);
+void playExplore(const Scenario& scenario, std::map<std::string, double>& out);
 void playText(const Scenario& scenario);
 
 }  // namespace merlin::test
