Lives are ordered, and the proposer counts no answer of a life that is over

Lives had no order but that of hearing: a voter told of the new life by the rejoin took an accept naming the first life, of which it had never heard, for a newer one. Accepts named the lives of promisers only; the acceptance of another voter counted although its disk went before the others accepted. A read of one ballot at a majority, without a second round, looked at no lives at all. Also forgotten: the lives a wiped voter had been told of.

Lives are now ordered (a first start below all others, one asleep raises its own until it is the highest), answers name the lives known, a woken voter takes them over, and the proposer leaves out answers of a life below one that any answer named, in all rounds. Accepts name no lives any more.

--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -66,7 +66,7 @@
     // Where something was held and can't be read, promises may be among it.
     const bool damaged = parts_.cellar->found() != Cellar::Found::nothing;
     const bool first = settings.bootstrap && !damaged;
-    ledge_.emplace(settings.self, Life{random_() >> 1}, first);
+    ledge_.emplace(settings.self, cairn::drawLife(random_(), first), first);
     parts_.log(damaged ? "damaged disk, the other voters are read before voting"
                : first ? "first start, empty state"
                        : "empty disk, the other voters are read before voting");
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -24,6 +24,25 @@
   for (const auto& name : j) out.emplace_back(name.get<std::string>());
   return out;
 }
+
+json toJson(const std::map<NodeId, Life>& lives) {
+  json out = json::object();
+  for (const auto& [node, life] : lives) out[node.str()] = life.value;
+  return out;
+}
+
+std::map<NodeId, Life> livesFrom(const json& j) {
+  std::map<NodeId, Life> out;
+  for (const auto& [node, life] : j.items()) out[NodeId(node)] = Life{life.get<std::uint64_t>()};
+  return out;
+}
+
+void raise(std::map<NodeId, Life>& lives, const NodeId& node, Life life) {
+  auto& known = lives[node];
+  known = std::max(known, life);
+}
+
+constexpr std::uint64_t kLaterLife = std::uint64_t{1} << 62;
 }  // namespace
 
 Span extraTime(std::size_t bytes) { return Span(static_cast<std::int64_t>(bytes) * 4); }
@@ -122,9 +141,6 @@
   json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
   if (ask.kind == Ask::Kind::accept) {
     out["v"] = toJson(ask.value, ask.text, shelf);
-    json lives = json::object();
-    for (const auto& [node, life] : ask.lives) lives[node.str()] = life.value;
-    out["l"] = std::move(lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
   } else if (ask.kind == Ask::Kind::fetch) {
@@ -145,9 +161,6 @@
   ask.ballot = ballotFrom(j.at("b"));
   if (ask.kind == Ask::Kind::accept) {
     ask.value = valueFrom(j.at("v"), shelf);
-    for (const auto& [node, life] : j.at("l").items()) {
-      ask.lives[NodeId(node)] = Life{life.get<std::uint64_t>()};
-    }
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
   } else {
@@ -160,6 +173,7 @@
 json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf, bool spare) {
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
+  if (!reply.lives.empty()) out["l"] = toJson(reply.lives);
   if (reply.text != 0) out["x"] = reply.text;
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
@@ -178,6 +192,7 @@
   reply.asleep = j.value("z", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
+  if (j.contains("l")) reply.lives = livesFrom(j.at("l"));
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
@@ -189,23 +204,21 @@
 
 // ---- Ledge
 
+Life drawLife(std::uint64_t random, bool first) {
+  return Life{first ? random >> 2 : kLaterLife | random >> 24};
+}
+
 Ledge::Ledge(NodeId self, Life life, bool awake)
     : self_(std::move(self)), life_(life), awake_(awake) {}
 
 Ledge::Saved Ledge::save() const {
-  json lives = json::object();
-  for (const auto& [node, list] : lives_) {
-    json values = json::array();
-    for (const auto& life : list) values.push_back(life.value);
-    lives[node.str()] = std::move(values);
-  }
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
   const json head = {{"life", life_.value},
                      {"awake", awake_},
                      {"promised", toJson(promised_)},
                      {"accepted", toJson(accepted_)},
                      {"value", toJson(value_, apart)},
-                     {"lives", std::move(lives)}};
+                     {"lives", toJson(lives_)}};
   return {head.dump(), value_.config};
 }
 
@@ -219,9 +232,10 @@
     ledge.promised_ = ballotFrom(saved.at("promised"));
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
-    for (const auto& [node, list] : saved.at("lives").items()) {
-      for (const auto& life : list) {
-        ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
+    for (const auto& [node, life] : saved.at("lives").items()) {
+      // Version 0.1.0 wrote all lives of a voter, in no order.
+      for (const auto& one : life.is_array() ? life : json::array({life})) {
+        raise(ledge.lives_, NodeId(node), Life{one.get<std::uint64_t>()});
       }
     }
     return ledge;
@@ -231,17 +245,9 @@
 }
 
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
-}
-
-// False where the life named is over.
-bool Ledge::learnLife(const NodeId& node, Life life) {
-  auto& list = lives_[node];
-  if (!list.empty() && list.back() == life) return true;
-  if (std::find(list.begin(), list.end(), life) != list.end()) return false;
-  list.push_back(life);
-  return true;
+  return {ok,     !awake_,   life_,
+          lives_, promised_, accepted_,
+          value_, same,      value_.config ? value_.config->id() : 0};
 }
 
 Ledge::Out Ledge::ask(const Ask& ask) {
@@ -253,22 +259,14 @@
       return {answer(true, !ask.have.empty() && ask.have == value_.stamp), true};
     case Ask::Kind::accept: {
       if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
-      for (const auto& [node, life] : ask.lives) {
-        if (node == self_ && life != life_) return {answer(false), false};
-        const auto it = lives_.find(node);
-        if (it == lives_.end() || it->second.empty() || it->second.back() == life) continue;
-        const auto& list = it->second;
-        if (std::find(list.begin(), list.end(), life) != list.end()) return {answer(false), false};
-      }
-      for (const auto& [node, life] : ask.lives) learnLife(node, life);
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
       return {answer(true, true), true};  // the asker wrote it
     }
     case Ask::Kind::rejoin:
-      if (!learnLife(ask.from, ask.life)) return {answer(false), false};
-      return {answer(true), true};
+      raise(lives_, ask.from, ask.life);
+      return {answer(lives_[ask.from] == ask.life), true};
     case Ask::Kind::fetch:
       return {answer(true), false};
   }
@@ -285,7 +283,14 @@
 }
 
 bool Ledge::rejoinReply(const NodeId& from, const Reply& reply, const Value& known) {
-  if (awake_ || !reply.ok || reply.asleep) return false;
+  if (awake_ || reply.asleep) return false;
+  const auto told = reply.lives.find(self_);
+  if (told != reply.lives.end() && told->second > life_) {
+    life_ = Life{told->second.value + 1};  // all are asked again with it
+    rejoin_.clear();
+  }
+  // Only answers that wrote this very life down.
+  if (!reply.ok || told == reply.lives.end() || told->second != life_) return false;
   rejoin_[from] = reply;
   // The newest voters that anyone has told of decide whose answers count.
   const Value* newest = &known;
@@ -304,6 +309,9 @@
   if (newest->voters.empty()) return false;
   for (const auto& [node, r] : rejoin_) {
     promised_ = std::max(promised_, r.promised);
+    // What the others know of lives must not be lost with one that knew it.
+    raise(lives_, node, r.life);
+    for (const auto& [other, life] : r.lives) raise(lives_, other, life);
     if (r.accepted > accepted_) {
       accepted_ = r.accepted;
       value_ = r.value;
@@ -331,6 +339,16 @@
       random_(seed),
       roundTime_(round) {}
 
+// Those whose answers still count: no answer told of a later life of theirs.
+std::set<NodeId> Climber::living(const std::map<NodeId, Life>& answered) const {
+  std::set<NodeId> out;
+  for (const auto& [node, life] : answered) {
+    const auto it = newest_.find(node);
+    if (it == newest_.end() || it->second <= life) out.insert(node);
+  }
+  return out;
+}
+
 bool Climber::quorum(const Value& value, const std::set<NodeId>& have) {
   return majority(value.voters, have) && (value.before.empty() || majority(value.before, have));
 }
@@ -350,6 +368,7 @@
   fetching_ = false;
   asked_.clear();
   promises_.clear();
+  promisers_.clear();
   accepts_.clear();
   bestValue_ = basis_;
   bestBallot_ = Ballot{};
@@ -392,12 +411,15 @@
 std::vector<Climber::Send> Climber::reply(const NodeId& from, std::uint64_t round,
                                           const Reply& reply, Instant now) {
   highest_ = std::max(highest_, reply.promised.number);
+  for (const auto& [node, life] : reply.lives) raise(newest_, node, life);
+  raise(newest_, from, reply.life);
   if (result_ || round != round_ || waiting_) return {};
   if (reply.asleep) return {};
   if (!reply.ok) return backOff(now);
   if (accepting_) {
-    accepts_.insert(from);
-    if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
+    accepts_[from] = reply.life;
+    const auto have = living(accepts_);
+    if (quorum(old_, have) && quorum(next_, have)) accepted();
     return {};
   }
   if (fetching_) {
@@ -407,6 +429,7 @@
     return promised(now);
   }
   promises_[from] = reply;
+  promisers_[from] = reply.life;
   if (reply.accepted > bestBallot_) {
     bestBallot_ = reply.accepted;
     bestValue_ = reply.same ? basis_ : reply.value;
@@ -416,9 +439,7 @@
     bestValue_.config = held_;
     bestValue_.absent = 0;
   }
-  std::set<NodeId> have;
-  for (const auto& [node, promise] : promises_) have.insert(node);
-  if (!quorum(bestValue_, have)) return askMore();
+  if (!quorum(bestValue_, living(promisers_))) return askMore();
   if (bestValue_.absent == 0) return promised(now);
   // One of those that have the text sends it.
   fetching_ = true;
@@ -458,7 +479,6 @@
   ask.from = self_;
   ask.ballot = ballot_;
   ask.value = next_;
-  for (const auto& [node, promise] : promises_) ask.lives[node] = promise.life;
   std::set<NodeId> all;
   for (const Value* value : {&old_, &next_}) {
     all.insert(value->voters.begin(), value->voters.end());
@@ -488,8 +508,6 @@
   for (const auto& [node, reply] : promises_) {
     promises[node.str()] = {reply.life.value, toJson(reply.accepted)};
   }
-  json accepts = json::array();
-  for (const auto& node : accepts_) accepts.push_back(node.str());
   json out = {{"basis", {basis_.epoch, basis_.stamp}},
               {"round", round_},
               {"highest", highest_},
@@ -500,7 +518,8 @@
                                      : "prepare"},
               {"best", toJson(bestBallot_)},
               {"promises", std::move(promises)},
-              {"accepts", std::move(accepts)}};
+              {"accepts", toJson(accepts_)},
+              {"lives", toJson(newest_)}};
   if (accepting_) out["next"] = next_.stamp;
   if (result_) out["result"] = {result_->ok, result_->known, result_->chosen.stamp};
   return out;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -67,18 +67,18 @@
   Kind kind = Kind::prepare;
   NodeId from;
   Ballot ballot;
-  Value value;                   // accept
-  std::map<NodeId, Life> lives;  // accept: the lives that promised
-  Life life;                     // rejoin: the asker's new life
-  std::string have;              // prepare: stamp of the value the asker holds already
-  std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
-                                 // accept (not sent): the reader's
+  Value value;             // accept
+  Life life;               // rejoin: the asker's new life
+  std::string have;        // prepare: stamp of the value the asker holds already
+  std::uint64_t text = 0;  // prepare: a text that the asker has; fetch: the one it wants;
+                           // accept (not sent): the reader's
 };
 
 struct Reply {
   bool ok = false;
   bool asleep = false;  // this voter has forgotten its promises and is still reading them
   Life life;
+  std::map<NodeId, Life> lives;  // of those that came back without a disk, as far as known here
   Ballot promised;
   Ballot accepted;
   Value value;
@@ -93,6 +93,10 @@
                       bool spare = false);
 Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
+// Lives of one voter are ordered: one that starts without a disk after the first start is above
+// every first one, and raises its life until no voter that it reads knows a higher one.
+Life drawLife(std::uint64_t random, bool first);
+
 class Ledge {
  public:
   // A voter of the very first start may vote at once; one with an empty disk later must read
@@ -123,7 +127,6 @@
 
  private:
   [[nodiscard]] Reply answer(bool ok, bool same = false) const;
-  bool learnLife(const NodeId& node, Life life);
 
   NodeId self_;
   Life life_;
@@ -131,7 +134,7 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
-  std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
+  std::map<NodeId, Life> lives_;  // the highest told of; only those that read the others have one
   std::map<NodeId, Reply> rejoin_;
 };
 
@@ -182,6 +185,7 @@
   std::vector<Send> backOff(Instant now);
   void accepted();
   [[nodiscard]] bool everySame() const;
+  [[nodiscard]] std::set<NodeId> living(const std::map<NodeId, Life>& answered) const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
   NodeId self_;
@@ -203,7 +207,9 @@
   int refusals_ = 0;
   std::set<NodeId> asked_;
   std::map<NodeId, Reply> promises_;
-  std::set<NodeId> accepts_;
+  std::map<NodeId, Life> promisers_;
+  std::map<NodeId, Life> accepts_;
+  std::map<NodeId, Life> newest_;  // lives that any answer told of: older ones don't count
   Value bestValue_;
   Ballot bestBallot_;
   Value old_;
--- a/tests/world_explore.cpp
+++ b/tests/world_explore.cpp
@@ -92,7 +92,11 @@
 
 // What has happened, for the invariants.
 struct History {
-  std::map<std::pair<Ballot, std::string>, std::set<std::size_t>> accepts;  // by lives that last
+  struct Votes {
+    std::set<std::size_t> ever;
+    std::set<std::size_t> wiped;  // since
+  };
+  std::map<std::pair<Ballot, std::string>, Votes> accepts;
   std::map<std::uint64_t, Value> chosen;  // by sequence: chosen, or reported as chosen
   std::set<std::string> acked;
   std::set<std::string> refused;
@@ -101,9 +105,10 @@
 
   void seal() {
     std::string text;
-    for (const auto& [key, nodes] : accepts) {
+    for (const auto& [key, votes] : accepts) {
       text += std::to_string(key.first.number) + key.first.by.str() + key.second + ":";
-      for (const auto n : nodes) text += std::to_string(n);
+      for (const auto n : votes.ever)
+        text += (votes.wiped.contains(n) ? "-" : "") + std::to_string(n);
     }
     for (const auto& [sequence, value] : chosen) text += value.stamp + ";";
     for (const auto& mark : acked) text += mark + "+";
@@ -212,12 +217,12 @@
     asleepMost_ = (voters - 1) / 2;
   }
 
-  // Exact steps; those that can't be taken are passed over when a run is being shrunk.
-  State replay(const std::vector<std::string>& steps, bool strict,
+  // Exact steps. One that can't be taken is passed over, unless `strict` says no.
+  State replay(const std::vector<std::string>& steps, const std::set<std::size_t>& strict,
                std::vector<std::string>* taken) {
     State state = begin_;
-    for (const auto& text : steps) {
-      if (!state.broken.empty()) break;
+    for (std::size_t n = 0; n < steps.size() && state.broken.empty(); ++n) {
+      const auto& text = steps[n];
       bool found = false;
       for (const auto& step : stepsOf(state)) {
         if (textOf(state, step) != text) continue;
@@ -226,11 +231,16 @@
         if (taken != nullptr) taken->push_back(text);
         break;
       }
-      require(found || !strict, "a step that can't be taken: " + text);
+      require(found || !strict.contains(n), "a step that can't be taken: " + text);
     }
     return state;
   }
 
+  void note(const State& state) {
+    acked_ += state.history->acked.empty() ? 0 : 1;
+    refused_ += state.history->refused.empty() ? 0 : 1;
+  }
+
   // Breadth first, so that the first broken run is a shortest one.
   std::optional<Found> search(std::size_t most) {
     struct Seen {
@@ -354,7 +364,7 @@
 
   std::vector<std::string> shrink(std::vector<std::string> steps, const std::string& broken) {
     const auto breaks = [&](const std::vector<std::string>& tried, std::vector<std::string>* left) {
-      const auto state = replay(tried, false, left);
+      const auto state = replay(tried, {}, left);
       const auto now = state.broken.empty() ? heal(state) : state.broken;
       return now.substr(0, 12) == broken.substr(0, 12);
     };
@@ -412,11 +422,6 @@
     return static_cast<std::size_t>(it - ids_.begin());
   }
 
-  void note(const State& state) {
-    acked_ += state.history->acked.empty() ? 0 : 1;
-    refused_ += state.history->refused.empty() ? 0 : 1;
-  }
-
   template <class T, class Work>
   static void edit(std::shared_ptr<const T>& part, Work work) {
     auto copy = std::make_shared<T>(*part);
@@ -554,7 +559,7 @@
         ++state.wipes;
         edit(state.nodes[step.a], [](Node& n) { n.disk.reset(); });
         edit(state.history, [&](History& h) {
-          for (auto& [key, nodes] : h.accepts) nodes.erase(step.a);
+          for (auto& [key, votes] : h.accepts) votes.wiped.insert(step.a);
         });
         boot(state, step.a);
         break;
@@ -633,7 +638,6 @@
       m.voter = place(one.to.str());
       m.round = one.round;
       m.ask = one.ask;
-      if (fault("lives")) m.ask.lives.clear();
       put(state, std::move(m));
     }
     if (p.done || !p.climber->result()) return;
@@ -690,6 +694,7 @@
           auto reply = m->reply;
           auto round = m->round;
           if (reply.same) reply.value = Value{};
+          if (fault("lives")) reply.lives.clear();
           if (fault("late") && p.accepting && round + 1 == p.round) round = p.round;
           if (fault("one-majority")) reply.value.before.clear();
           send(state, m->who, p, p.climber->reply(ids_[m->voter], round, reply, Instant()));
@@ -770,9 +775,15 @@
     if (n.ledge.accepted().number == 0 || value.sequence == 0) return;
     std::set<NodeId> have;
     edit(state.history, [&](History& h) {
-      auto& nodes = h.accepts[{n.ledge.accepted(), value.stamp}];
-      nodes.insert(i);
-      for (const auto node : nodes) have.insert(ids_[node]);
+      auto& votes = h.accepts[{n.ledge.accepted(), value.stamp}];
+      // A woken one votes for what it has read only if it did so before, or promised nothing since.
+      const auto promised =
+          cairn::ballotFrom(nlohmann::json::parse(n.ledge.save().head).at("promised"));
+      if (promised == n.ledge.accepted()) votes.ever.insert(i);
+      votes.wiped.erase(i);
+      for (const auto node : votes.ever) {
+        if (!votes.wiped.contains(node)) have.insert(ids_[node]);
+      }
     });
     // Which sets count depends on how far the change of voters is, whatever the value says.
     const bool both = value.epoch == 1 || marks(value).ends_with("new ");
@@ -839,16 +850,24 @@
 
 }  // namespace
 
-// do STEP: plays these steps only. states N: searches breadth first until N states are known.
-// walks N LENGTH: random walks, seeded by their number. The first broken run ends it.
+// do STEP: plays these steps; try STEP: passed over where it isn't there to be taken. states N:
+// searches breadth first until N states are known. walks N LENGTH: random walks, seeded by their
+// number. The first broken run ends it.
 void playExplore(const Scenario& scenario, std::map<std::string, double>& out) {
   Explorer explorer(scenario);
   std::optional<Found> found;
   std::string by = "the steps given";
   std::vector<std::string> steps;
-  for (const auto* line : linesOf(scenario, "do")) steps.push_back(line->text.substr(3));
+  std::set<std::size_t> strict;
+  for (const auto& line : scenario.lines) {
+    if (line.words[0] == "do") strict.insert(steps.size());
+    if (line.words[0] == "do" || line.words[0] == "try") {
+      steps.push_back(line.text.substr(line.words[0].size() + 1));
+    }
+  }
   if (!steps.empty()) {
-    const auto state = explorer.replay(steps, true, nullptr);
+    const auto state = explorer.replay(steps, strict, nullptr);
+    explorer.note(state);
     const auto broken = state.broken.empty() ? explorer.heal(state) : state.broken;
     if (!broken.empty()) found = Found{broken, steps};
   }
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -56,7 +56,7 @@
     }
     for (auto& m : machines_) {
       m->known.voters = first_;
-      m->ledge.emplace(m->id, Life{clock_.random() >> 1}, true);
+      m->ledge.emplace(m->id, cairn::drawLife(clock_.random(), true), true);
       m->disk = m->ledge->save();
     }
   }
@@ -183,7 +183,9 @@
     m.known.voters = first_;
     if (m.disk) m.ledge = Ledge::restore(m.id, *m.disk);
     // A fault of its own: one that lost its disk votes as if nothing had been.
-    if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, fault("forgetful"));
+    if (!m.ledge) {
+      m.ledge.emplace(m.id, cairn::drawLife(clock_.random(), false), fault("forgetful"));
+    }
     m.shelf = cairn::Shelf();
     m.shelf.put(m.ledge->value().config);
     m.wiped = false;
