--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -158,7 +158,6 @@
   json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
   if (ask.kind == Ask::Kind::accept) {
     out["v"] = toJson(ask.value, ask.text, shelf);
-    out["l"] = livesJson(ask.lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
     if (ask.text != 0) out["x"] = ask.text;
@@ -180,7 +179,6 @@
   ask.ballot = ballotFrom(j.at("b"));
   if (ask.kind == Ask::Kind::accept) {
     ask.value = valueFrom(j.at("v"), shelf);
-    ask.lives = livesFrom(j.at("l"));
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
     ask.text = j.value("x", std::uint64_t{0});
@@ -314,13 +312,8 @@
       promised_ = ask.ballot;
       return {answer(true, !ask.have.empty() && ask.have == value_.stamp), true};
     case Ask::Kind::accept: {
-      if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
-      for (const auto& [node, life] : ask.lives) {
-        if (node == self_ && life != life_) return {answer(false), false};
-        const auto it = lives_.find(node);
-        if (it != lives_.end() && life < it->second) return {answer(false), false};
-      }
-      for (const auto& [node, life] : ask.lives) learnLife(node, life);
+      // The ballot alone decides: a later epoch held here may never have been chosen.
+      if (ask.ballot < promised_) return {answer(false), false};
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
@@ -364,6 +357,7 @@
   rejoin_[from] = reply;
   // One that lost its disk since it answered has forgotten what it was told, and may hold more now.
   for (const auto& [node, r] : rejoin_) {
+    learnLife(node, r.life);
     for (const auto& [other, life] : r.lives) learnLife(other, life);
   }
   std::erase_if(rejoin_, [this](const auto& entry) {
@@ -566,7 +560,6 @@
   ask.from = self_;
   ask.ballot = ballot_;
   ask.value = next_;
-  for (const auto& [node, promise] : promises_) ask.lives[node] = promise.life;
   std::set<NodeId> all;
   for (const Value* value : {&old_, &next_}) {
     all.insert(value->voters.begin(), value->voters.end());
@@ -591,6 +584,28 @@
   result_ = std::move(result);
 }
 
+json Climber::state() const {
+  json promises = json::object();
+  for (const auto& [node, reply] : promises_) {
+    promises[node.str()] = {reply.life.value, toJson(reply.accepted)};
+  }
+  json out = {{"basis", {basis_.epoch, basis_.stamp}},
+              {"round", round_},
+              {"highest", highest_},
+              {"ballot", toJson(ballot_)},
+              {"phase", waiting_     ? "wait"
+                        : fetching_  ? "fetch"
+                        : accepting_ ? "accept"
+                                     : "prepare"},
+              {"best", toJson(bestBallot_)},
+              {"promises", std::move(promises)},
+              {"accepts", livesJson(accepts_)},
+              {"lives", livesJson(lives_)}};
+  if (accepting_) out["next"] = next_.stamp;
+  if (result_) out["result"] = {result_->ok, result_->known, result_->chosen.stamp};
+  return out;
+}
+
 std::vector<Climber::Send> Climber::tick(Instant now) {
   if (result_) return {};
   if (now >= ends_) {
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -67,12 +67,11 @@
   Kind kind = Kind::prepare;
   NodeId from;
   Ballot ballot;
-  Value value;                   // accept
-  std::map<NodeId, Life> lives;  // accept: the lives that promised
-  Life life;                     // rejoin: the asker's new life
-  std::string have;              // prepare: stamp of the value the asker holds already
-  std::uint64_t text = 0;        // prepare, rejoin: a text that the asker has; fetch: the one it
-                                 // wants; accept (not sent): the reader's
+  Value value;             // accept
+  Life life;               // rejoin: the asker's new life
+  std::string have;        // prepare: stamp of the value the asker holds already
+  std::uint64_t text = 0;  // prepare, rejoin: a text that the asker has; fetch: the one it
+                           // wants; accept (not sent): the reader's
 };
 
 struct Reply {
@@ -184,6 +183,8 @@
   [[nodiscard]] const std::optional<Result>& result() const { return result_; }
   // When `tick` is next wanted.
   [[nodiscard]] Instant wake() const { return std::min(roundEnds_, ends_); }
+  // For diagnostics: everything that decides what it does next, but times and texts.
+  [[nodiscard]] nlohmann::json state() const;
   // A text at hand besides the basis', so that voters need not send it.
   void holds(const Signboard::Ptr& text) { held_ = text; }
 
