The second value of a change of voters waits for the first to be chosen

Found by the explorer after 162,122 walks (explore_second_value, 44 steps with the newcomers' reading): a proposer read the first value (both sets) at one voter, where it was never chosen, and wrote the second one (new set) on it, which reached one new voter. Whoever read that needed the new voters only, while the old ones chose another value. The council steps from a chosen value as a rule; after a restart it took the sets of a value whose fate is unknown. The climber now keeps the rule itself.

--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -459,6 +459,11 @@
   old_ = bestValue_;
   next_ = bestValue_;
   verdict_ = change_(old_, next_);
+  // Invariant: the second value of a change of voters is written only once the first is chosen.
+  // Until then it is finished, and the change is for a later climb.
+  const bool leaving = !old_.before.empty() && next_.before.empty();
+  const bool firstChosen = (basis_.sequence > 0 && basis_.epoch == old_.epoch) || everySame();
+  if (verdict_.kind == Verdict::Kind::put && leaving && !firstChosen) verdict_ = Verdict{};
   if (verdict_.kind == Verdict::Kind::put) {
     next_.sequence = old_.sequence + 1;
     next_.stamp = author_.str() + "/" + std::to_string(ballot_.number);
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -1,5 +1,6 @@
 #include "runner.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -55,8 +56,22 @@
   require(checked > 0, "a scenario without an expectation proves nothing");
 }
 
-int play(const std::string& path, bool show) {
-  const auto scenario = load(path);
+// KEY=WORD,WORD in place of the scenario's own line for that key.
+void replaceLine(Scenario& scenario, const std::string& change) {
+  auto text = change;
+  std::replace(text.begin(), text.end(), '=', ' ');
+  std::replace(text.begin(), text.end(), ',', ' ');
+  Line line{0, text, {}};
+  std::istringstream words(text);
+  for (std::string word; words >> word;) line.words.push_back(word);
+  require(line.words.size() > 1, "not KEY=VALUE: " + change);
+  std::erase_if(scenario.lines, [&](const Line& old) { return old.words[0] == line.words[0]; });
+  scenario.lines.push_back(std::move(line));
+}
+
+int play(const std::string& path, bool show, const std::vector<std::string>& changes) {
+  auto scenario = load(path);
+  for (const auto& change : changes) replaceLine(scenario, change);
   const auto& world = scenario.lines[0].words[1];
   if (world == "text") {
     playText(scenario);
@@ -105,11 +120,13 @@
 
 int main(int argc, char** argv) {
   if (argc < 2) {
-    std::cerr << "usage: trailtest SCENARIO [show]\n";
+    std::cerr << "usage: trailtest SCENARIO [show] [KEY=VALUE,...]...\n";
     return 2;
   }
   try {
-    const int runs = merlin::test::play(argv[1], argc > 2);
+    std::vector<std::string> changes(argv + 2, argv + argc);
+    const bool show = std::erase(changes, "show") > 0;
+    const int runs = merlin::test::play(argv[1], show, changes);
     std::cout << argv[1] << ": kept in " << runs << " run(s)\n";
     return 0;
   } catch (const merlin::test::Broken& broken) {
--- a/tests/world_explore.cpp
+++ b/tests/world_explore.cpp
@@ -708,7 +708,9 @@
         edit(state.nodes[m->who], [&](Node& n) {
           if (n.ledge.awake()) return;
           n.heard.push_back(m->hash);
-          if (!n.ledge.rejoinReply(ids_[m->voter], m->reply, n.known)) return;
+          const bool woken = n.ledge.rejoinReply(ids_[m->voter], m->reply, n.known);
+          if (n.ledge.life().value != m->round) n.asked.clear();  // raised: all are asked again
+          if (!woken) return;
           n.heard.clear();
           n.asked.clear();
           n.dirty = true;
@@ -857,8 +859,8 @@
 }  // namespace
 
 // do STEP: plays these steps; try STEP: passed over where it isn't there to be taken. states N:
-// searches breadth first until N states are known. walks N LENGTH: random walks, seeded by their
-// number. The first broken run ends it.
+// searches breadth first until N states are known. walks N LENGTH [FROM]: random walks, seeded
+// by their number. The first broken run ends it.
 void playExplore(const Scenario& scenario, std::map<std::string, double>& out) {
   Explorer explorer(scenario);
   std::optional<Found> found;
@@ -886,7 +888,8 @@
   if (!found && !walks.empty()) {
     const auto count = std::stoull(walks[0]->words.at(1));
     const auto length = static_cast<std::size_t>(std::stoull(walks[0]->words.at(2)));
-    for (std::uint64_t seed = 1; seed <= count && !found; ++seed) {
+    const auto first = walks[0]->words.size() > 3 ? std::stoull(walks[0]->words[3]) : 1;
+    for (std::uint64_t seed = first; seed < first + count && !found; ++seed) {
       by = "walk " + std::to_string(seed);
       found = explorer.walk(seed, length);
     }
