--- a/src/version/signboard.cpp
+++ b/src/version/signboard.cpp
@@ -19,7 +19,11 @@
 namespace merlin::cairn {
 
 namespace {
-constexpr std::size_t kKept = 6;
+// A shelf keeps the last few: small ones for a storm of changes, of large ones never more than this,
+// and two in any case.
+constexpr std::size_t kMostKept = 64;
+constexpr std::size_t kFewestKept = 2;
+constexpr std::size_t kBytesKept = 5U << 19U;
 constexpr int kLevel = 1;  // the least processor time
 constexpr std::size_t kMostText = 64U << 20;
 
@@ -141,7 +145,11 @@
 void Shelf::put(const Signboard::Ptr& board) {
   if (!board || find(board->id())) return;
   boards_.push_back(board);
-  if (boards_.size() > kKept) boards_.pop_front();
+  bytes_ += board->text().size();
+  while (boards_.size() > kMostKept || (bytes_ > kBytesKept && boards_.size() > kFewestKept)) {
+    bytes_ -= boards_.front()->text().size();
+    boards_.pop_front();
+  }
 }
 
 Signboard::Ptr Shelf::find(std::uint64_t id) const {
--- a/src/version/signboard.hpp
+++ b/src/version/signboard.hpp
@@ -41,6 +41,7 @@
 
  private:
   std::deque<Signboard::Ptr> boards_;
+  std::size_t bytes_ = 0;  // of their texts
 };
 
 }  // namespace merlin::cairn
--- a/tests/world_disk.cpp
+++ b/tests/world_disk.cpp
@@ -4,11 +4,15 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <sstream>
+#include <thread>
 
 #include "process/bell.hpp"
 #include "process/cellar.hpp"
+#include "process/snapshot.hpp"
 #include "runner.hpp"
+#include "version/register.hpp"
 
 namespace merlin::test {
 
@@ -34,6 +38,10 @@
       storm(out);
       return;
     }
+    if (!linesOf(s_, "mutations").empty()) {
+      snapshots(out);
+      return;
+    }
     const int saves = static_cast<int>(number(s_, "saves", 8));
     const int losses = static_cast<int>(number(s_, "losses", 20));
     Files before;
@@ -116,6 +124,145 @@
            {"highest_mb", highest / (1U << 20U)}};
   }
 
+  // A voter's record as it is saved after `n` changes.
+  static Cellar::Record voter(int n) {
+    cairn::Ledge ledge(NodeId("n1"), Life{7}, true);
+    cairn::Ask ask;
+    ask.kind = cairn::Ask::Kind::accept;
+    ask.from = NodeId("n2");
+    ask.ballot = {static_cast<std::uint64_t>(n), NodeId("n2#1")};
+    ask.value.sequence = static_cast<std::uint64_t>(n);
+    ask.value.stamp = "s" + std::to_string(n);
+    ask.value.configRevision = Revision{n};
+    ask.value.config = cairn::Signboard::of("{\"revision\":" + std::to_string(n) + ",\"x\":\"" +
+                                            std::string(5000 + n % 97 * 100, 'x') + "\"}");
+    ask.value.voters = {NodeId("n1"), NodeId("n2"), NodeId("n3")};
+    ask.lives[NodeId("n2")] = Life{9};
+    require(ledge.ask(ask).reply.ok, "the record can't be made");
+    const auto saved = ledge.save();
+    return {saved.head, saved.text};
+  }
+
+  std::optional<cairn::Ledge> heldIn(const fs::path& data) {
+    Cellar cellar(bell_, (data / "register").string(), kBytes);
+    const auto loaded = cellar.load();
+    if (!loaded) return std::nullopt;
+    return cairn::Ledge::restore(NodeId("n1"), {loaded->head, cairn::Signboard::of(loaded->text)});
+  }
+
+  // Saved while the voter goes on writing, put back, refused, and spoilt in many ways.
+  void snapshots(std::map<std::string, double>& out) {
+    using End = hut::SnapshotDone::End;
+    restore({});
+    const auto data = folder_ / "data";
+    const auto other = folder_ / "other";
+    const auto file = (folder_ / "snapshot").string();
+    fs::create_directories(data);
+    require(hut::saveSnapshot(file, data.string()).end == End::noInput, "nothing was saved there");
+    const int saves = static_cast<int>(number(s_, "saves", 10));
+    {
+      Cellar cellar(bell_, (data / "register").string(), kBytes);
+      require(cellar.write(voter(1)), "a save fails");
+      std::atomic<bool> more{true};
+      std::thread writer([&] {
+        for (int n = 2; more; ++n) cellar.write(voter(n));
+      });
+      int last = 0;
+      for (int i = 0; i < saves; ++i) {
+        const auto done = hut::saveSnapshot(file, data.string());
+        const auto shown = hut::showSnapshot(file);
+        if (done.end != End::done || shown.end != End::done) more = false;
+        if (!more) break;
+        // The text is that of its head, or it would not have been read; and time goes forward.
+        const int n = nlohmann::json::parse(shown.text)["revision"].get<int>();
+        if (n < last) more = false;
+        last = n;
+      }
+      const bool whole = more.exchange(false);
+      writer.join();
+      require(whole, "a snapshot beside a writing process isn't whole");
+    }
+    const auto before = heldIn(data);
+    require(hut::saveSnapshot(file, data.string()).end == End::done, "a snapshot isn't saved");
+    require(hut::restoreSnapshot(file, data.string(), false).end == End::taken,
+            "state that is there is written over");
+    require(heldIn(data)->accepted() == before->accepted(), "a refusal has changed something");
+    for (const bool force : {false, true}) {
+      require(hut::restoreSnapshot(file, other.string(), force).end == End::done,
+              "a snapshot isn't put back");
+      const auto back = heldIn(other);
+      require(back && back->value().stamp == before->value().stamp, "it holds something else");
+      require(!back->awake() && back->life() != before->life(), "it would vote at once");
+    }
+    {
+      Cellar cellar(bell_, (other / "register").string(), kBytes);
+      cellar.start();
+      require(hut::restoreSnapshot(file, other.string(), true).end == End::busy,
+              "it is put back below a running process");
+    }
+    spoil(file, out);
+  }
+
+  void spoil(const std::string& file, std::map<std::string, double>& out) {
+    std::ifstream in(file, std::ios::binary);
+    const std::string good((std::istreambuf_iterator<char>(in)), {});
+    std::string problem;
+    const auto record = hut::readSnapshot(good, problem);
+    require(record.has_value(), "a good snapshot is refused");
+    const int mutations = static_cast<int>(number(s_, "mutations", 1000));
+    double refused = 0;
+    double read = 0;
+    for (int i = 0; i < mutations; ++i) {
+      auto bad = good;
+      mutate(bad);
+      if (bad != good && !hut::readSnapshot(bad, problem)) ++refused;
+      // The same below a checksum that fits: refused, or something that can be put back.
+      auto forged = *record;
+      mutate(forged.head);
+      if (const auto again = hut::readSnapshot(hut::writeSnapshot(forged), problem)) {
+        const auto saved =
+            cairn::Ledge::fenced({again->head, cairn::Signboard::of(again->text)}, Life{3});
+        require(saved.has_value(), "what was read can't be put back");
+        ++read;
+      }
+    }
+    std::ofstream(file + "-bad", std::ios::binary) << good.substr(0, good.size() / 2);
+    using End = hut::SnapshotDone::End;
+    require(hut::restoreSnapshot(file + "-bad", (folder_ / "fresh").string(), false).end ==
+                    End::badData &&
+                !fs::exists(folder_ / "fresh" / "register"),
+            "half a snapshot leaves something behind");
+    require(hut::restoreSnapshot(file + "-none", (folder_ / "fresh").string(), false).end ==
+                End::noInput,
+            "a file that isn't there");
+    require(hut::readSnapshot(R"({"format":"merlingauge snapshot","version":2})"
+                              "\n",
+                              problem) == std::nullopt &&
+                problem.find("another version") != std::string::npos,
+            "another version isn't named");
+    out = {{"mutations", static_cast<double>(mutations)}, {"refused", refused}, {"read", read}};
+  }
+
+  void mutate(std::string& bytes) {
+    const auto at = clock_.random() % bytes.size();
+    switch (clock_.random() % 5) {
+      case 0:
+        bytes[at] = static_cast<char>(clock_.random());
+        break;
+      case 1:
+        bytes.resize(at);
+        break;
+      case 2:
+        bytes.insert(at, std::string(clock_.random() % 40, static_cast<char>(clock_.random())));
+        break;
+      case 3:
+        bytes.erase(at, clock_.random() % 40);
+        break;
+      default:  // a number where one stood, larger than any
+        bytes.replace(at, 1, "99999999999999999999");
+    }
+  }
+
   Files take() const {
     Files out;
     for (const auto& entry : fs::directory_iterator(folder_)) {
