--- a/src/version/signboard.cpp
+++ b/src/version/signboard.cpp
@@ -19,8 +19,8 @@
 namespace merlin::cairn {
 
 namespace {
-// A shelf keeps the last few: small ones for a storm of changes, of large ones never more than this,
-// and two in any case.
+// A shelf keeps the last few: many small ones, for a storm of changes; of large ones as many as fit
+// here, and two in any case.
 constexpr std::size_t kMostKept = 64;
 constexpr std::size_t kFewestKept = 2;
 constexpr std::size_t kBytesKept = 5U << 19U;
