--- a/src/errors.cpp
+++ b/src/errors.cpp
@@ -16,6 +16,8 @@
     {400, "Bad Request", "the body is not the JSON this call wants", true, false, 0},
     {400, "Bad Request", "the configuration is invalid", true, false, 0},
     {412, "Precondition Failed", "another version is in place", true, false, 0},
+    {503, "Service Unavailable", "too old to tell whether it was taken", false, false, 1000},
+    {503, "Service Unavailable", "the version it builds on is not in place yet", false, false, 200},
     {503, "Service Unavailable", "no majority of the core answered", false, false, 200},
     {503, "Service Unavailable", "too few voters yet for the losses to be borne", true, false, 200},
     {503, "Service Unavailable", "this node has no configuration yet", true, false, 200},
--- a/src/errors.hpp
+++ b/src/errors.hpp
@@ -16,6 +16,8 @@
   badJson,
   invalidConfig,
   otherVersion,
+  orderForgotten,
+  baseAhead,
   noMajority,
   fewVoters,
   noConfig,
--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -53,7 +53,7 @@
   }
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
-    shelf_.put(ledge_->value().config);
+    keepOn(shelf_, ledge_->value());
     // What it holds was probably chosen: find out as soon as the others can be asked.
     if (ledge_->value().sequence > 0) aheadSince_ = parts_.bell.now() - kRepairAfter;
     // Only the voters are taken from it for now: whether its value was chosen is not known yet.
@@ -74,7 +74,7 @@
   parts_.cellar->start();
 }
 
-Value Council::basis() const { return known_; }
+Value Council::basis() const { return ledge_ ? ledge_->basisOf(known_) : known_; }
 
 const std::string& Council::knownFor(std::uint64_t has) {
   if (knownTextOf_ != known_.sequence) {
@@ -84,16 +84,17 @@
   // Texts that this node doesn't have come to the same.
   const std::uint64_t base = has != 0 && shelf_.find(has) ? has : 0;
   auto& text = knownTexts_[base];
-  if (text.empty()) text = toJson(known_, base, &shelf_).dump();
+  if (text.empty()) text = toJson(known_, {base, 0, false}, &shelf_).dump();
   return text;
 }
 
 std::uint64_t Council::textId() const { return known_.config ? known_.config->id() : 0; }
 
 void Council::learn(const Value& value) {
+  if (value.stamp == known_.stamp && !known_.history) known_.history = value.history;
   if (value.sequence <= known_.sequence) return;
   known_ = value;
-  shelf_.put(known_.config);
+  keepOn(shelf_, known_);
   parts_.chosen(known_);
 }
 
@@ -107,7 +108,7 @@
     rivalAt_ = parts_.bell.now();
   }
   auto out = ledge_->ask(ask);
-  shelf_.put(ledge_->value().config);
+  keepOn(shelf_, ledge_->value());
   const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
     if (!ok) {
       dirty_ = true;
@@ -143,7 +144,7 @@
   for (const auto& send : sends) {
     const auto back = [this, climb, to = send.to, round = send.round](std::optional<Reply> reply) {
       if (!reply || climb->climber.result()) return;
-      shelf_.put(reply->value.config);
+      keepOn(shelf_, reply->value);
       carry(climb, climb->climber.reply(to, round, *reply, parts_.bell.now()));
     };
     if (send.to == parts_.settings.self) {
@@ -209,7 +210,7 @@
                        } catch (const std::exception&) {
                          return;
                        }
-                       shelf_.put(ledge_->value().config);
+                       keepOn(shelf_, ledge_->value());
                        parts_.log("promises read from the other voters, voting again");
                        dirty_ = true;  // saved with the first answer that rests on it
                      });
--- a/src/process/office.cpp
+++ b/src/process/office.cpp
@@ -1,11 +1,10 @@
 #include "process/office.hpp"
 
-#include <Poco/SHA1Engine.h>
-
 #include <charconv>
 #include <utility>
 
 #include "process/wire.hpp"
+#include "version/orders.hpp"
 #include "version/schema.hpp"
 
 namespace merlin::hut {
@@ -19,73 +18,8 @@
 
 namespace {
 constexpr Span kCallLimit = std::chrono::milliseconds(900);
-constexpr std::size_t kRecent = 32;
 constexpr const char* kJson = "application/json";
 
-std::string sha1(const std::string& text) {
-  Poco::SHA1Engine engine;
-  engine.update(text);
-  return Poco::DigestEngine::digestToHex(engine.digest());
-}
-
-bool knownCall(const Value& value, const std::string& digest) {
-  for (const auto& taken : value.recent) {
-    if (taken.digest == digest) return true;
-  }
-  return false;
-}
-
-// One operator's change as a function of the current value.
-Climber::Verdict decide(const json& document, const cairn::Signboard::Ptr& text, bool whole,
-                        Revision base, const std::string& digest, std::size_t fewestVoters,
-                        const Value& current, Value& next) {
-  using Kind = Climber::Verdict::Kind;
-  Climber::Verdict verdict;
-  if (knownCall(current, digest)) return verdict;
-  verdict.kind = Kind::refuse;
-  // Whatever is acknowledged must survive the losses to be borne: the voters are made up first.
-  const bool stepping = !current.before.empty() && current.before.size() < fewestVoters;
-  if (stepping || current.voters.size() < fewestVoters) {
-    verdict.error = ErrorKind::fewVoters;
-    verdict.detail = std::to_string(current.voters.size()) + " of " + std::to_string(fewestVoters);
-    return verdict;
-  }
-  if (current.revision() != base) {
-    verdict.error = ErrorKind::otherVersion;
-    verdict.detail = "version " + std::to_string(current.revision().value) + " is in place";
-    return verdict;
-  }
-  verdict.error = ErrorKind::invalidConfig;
-  if (!whole) {
-    if (!current.config) {
-      verdict.error = ErrorKind::otherVersion;
-      return verdict;
-    }
-    auto updated = cairn::applyUpdate(json::parse(current.config->text()), document);
-    if (!updated.problem.empty()) {
-      verdict.detail = updated.problem;
-      return verdict;
-    }
-    // Its items have passed the schema one by one; what is left are the rules between them.
-    const auto read = Chart::read(updated.config, false);
-    if (!read.chart) {
-      verdict.detail = read.problem;
-      return verdict;
-    }
-    next.config = cairn::Signboard::of(updated.config.dump());
-  } else {
-    next.config = text;
-  }
-  next.configRevision = Revision{document["revision"].get<std::int64_t>()};
-  if (next.configRevision <= current.revision()) {
-    verdict.detail = "revision: not above the current one";
-    return verdict;
-  }
-  verdict.kind = Kind::put;
-  next.recent.push_back({next.configRevision, digest});
-  if (next.recent.size() > kRecent) next.recent.erase(next.recent.begin());
-  return verdict;
-}
 }  // namespace
 
 void Office::visit(const Visit::Ptr& visit) {
@@ -220,11 +154,11 @@
     visit->fail(ErrorKind::invalidConfig, problem);
     return;
   }
-  const auto digest = sha1((whole ? "replace/" : "update/") + baseText + "/" + body);
+  const cairn::Order order{whole, base, cairn::orderDigest(whole, baseText, body), document,
+                           whole ? cairn::Signboard::of(body) : nullptr};
   parts_.council.climb(
-      [document, whole, base, digest, fewest = parts_.fewestVoters,
-       text = whole ? cairn::Signboard::of(body) : nullptr](const Value& current, Value& next) {
-        return decide(*document, text, whole, base, digest, fewest, current, next);
+      [order, terms = cairn::OrderTerms{parts_.fewestVoters}](const Value& current, Value& next) {
+        return decide(order, terms, current, next);
       },
       kCallLimit + cairn::extraTime(body.size()),
       [this, visit, document](const Climber::Result& result) {
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -212,12 +212,11 @@
       }
       if (path == "/register") {
         const auto ask = cairn::askFrom(document, &council_->shelf());
-        const bool fetch = ask.kind == cairn::Ask::Kind::fetch;
         const bool spare = ask.kind == cairn::Ask::Kind::prepare;
-        const std::uint64_t has = fetch ? 0 : ask.text;
-        council_->ask(ask, [this, visit, has, spare, reply](std::optional<cairn::Reply> said) {
+        council_->ask(ask, [this, visit, reader = readerOf(ask), spare,
+                            reply](std::optional<cairn::Reply> said) {
           if (said) {
-            reply(toJson(*said, has, &council_->shelf(), spare).dump());
+            reply(toJson(*said, reader, &council_->shelf(), spare).dump());
           } else {
             visit->fail(ErrorKind::noMajority);
           }
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -1,6 +1,8 @@
 #include "version/register.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <stdexcept>
 
 namespace merlin::cairn {
 
@@ -81,18 +83,70 @@
 }
 }  // namespace
 
-json toJson(const Value& value, std::uint64_t has, const Shelf* shelf, bool spare) {
-  json recent = json::array();
-  for (const auto& taken : value.recent) {
-    recent.push_back(json::array({taken.revision.value, taken.digest}));
+namespace {
+std::uint64_t idOf(const History::Ptr& history) { return history ? history->id() : 0; }
+
+// {"i": id} with what the reader lacks: the floor "f" and all above it ("s" is the id of what lies
+// below); or the floor and what comes after the history "o".
+json writeHistory(const History& history, std::uint64_t has) {
+  json out = {{"i", history.id()}};
+  if (has == history.id()) return out;
+  out["f"] = history.floor().value;
+  const auto more = has == 0 ? std::nullopt : history.since(has);
+  if (more) {
+    out["o"] = has;
+    out["a"] = *more;
+  } else {
+    out["s"] = history.seed();
+    out["a"] = history.packed();
   }
+  return out;
+}
+
+History::Ptr readHistory(const json& j, const Shelf* shelf) {
+  const auto id = j.at("i").get<std::uint64_t>();
+  auto history = shelf == nullptr ? nullptr : shelf->findHistory(id);
+  if (history) return history;
+  const Revision floor{j.value("f", std::int64_t{0})};
+  if (floor.value < 0) throw std::out_of_range("a history from below 0");
+  if (j.contains("s")) {
+    history = History::unpack(floor, j.at("s").get<std::uint64_t>(),
+                              j.at("a").get_ref<const std::string&>());
+  } else if (j.contains("o") && shelf != nullptr) {
+    const auto base = shelf->findHistory(j.at("o").get<std::uint64_t>());
+    if (base) history = base->append(j.at("a").get_ref<const std::string&>(), floor, id);
+  }
+  if (!history || history->id() != id) throw std::out_of_range("a history that can't be made here");
+  return history;
+}
+
+// As versions of this program up to 0.1.0 wrote it: the last orders, each [revision, SHA-1 in hex].
+// What the first of them built on isn't known.
+History::Ptr readRecent(const json& j) {
+  constexpr std::size_t kDigits = 16;
+  History::Ptr history;
+  for (const auto& taken : j) {
+    const Revision revision{taken.at(0).get<std::int64_t>()};
+    const auto hex = taken.at(1).get<std::string>().substr(0, kDigits);
+    std::uint64_t digest = 0;
+    std::from_chars(hex.data(), hex.data() + hex.size(), digest, 16);
+    if (history && revision <= history->last()) throw std::out_of_range("orders that don't rise");
+    history = history ? history->with({revision, digest}) : std::make_shared<History>(revision);
+  }
+  return history;
+}
+}  // namespace
+
+json toJson(const Value& value, const Reader& reader, const Shelf* shelf, bool spare) {
   json out = {{"s", value.sequence}, {"e", value.epoch}, {"v", names(value.voters)}};
   if (!value.stamp.empty()) out["t"] = value.stamp;
   if (value.config) {
-    writeText(*value.config, has, shelf, spare, out);
+    writeText(*value.config, reader.text, shelf, spare, out);
     out["n"] = value.configRevision.value;
   }
-  if (!recent.empty()) out["r"] = std::move(recent);
+  if (value.history && reader.wantsHistory) {
+    out["h"] = writeHistory(*value.history, reader.history);
+  }
   if (!value.before.empty()) out["b"] = names(value.before);
   return out;
 }
@@ -109,11 +163,13 @@
     value.configRevision = Revision{j.at("n").get<std::int64_t>()};
   }
   if (j.contains("b")) value.before = namesFrom(j.at("b"));
-  if (j.contains("r")) {
-    for (const auto& taken : j.at("r")) {
-      value.recent.push_back(
-          {Revision{taken.at(0).get<std::int64_t>()}, taken.at(1).get<std::string>()});
-    }
+  if (j.contains("h")) {
+    value.history = readHistory(j.at("h"), shelf);
+  } else if (j.contains("r")) {
+    value.history = readRecent(j.at("r"));
+  }
+  if (value.history && value.history->last() != value.configRevision) {
+    throw std::out_of_range("a history of another version");
   }
   return value;
 }
@@ -121,7 +177,7 @@
 json toJson(const Ask& ask, const Shelf* shelf) {
   json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
   if (ask.kind == Ask::Kind::accept) {
-    out["v"] = toJson(ask.value, ask.text, shelf);
+    out["v"] = toJson(ask.value, Reader{ask.text, ask.history}, shelf);
     json lives = json::object();
     for (const auto& [node, life] : ask.lives) lives[node.str()] = life.value;
     out["l"] = std::move(lives);
@@ -132,6 +188,7 @@
   } else if (!ask.have.empty()) {
     out["h"] = ask.have;
     if (ask.text != 0) out["x"] = ask.text;
+    if (ask.history != 0) out["g"] = ask.history;
   }
   return out;
 }
@@ -153,20 +210,27 @@
   } else {
     ask.have = j.value("h", "");
     ask.text = j.value("x", std::uint64_t{0});
+    ask.history = j.value("g", std::uint64_t{0});
   }
   return ask;
 }
 
-json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf, bool spare) {
+Reader readerOf(const Ask& ask) {
+  if (ask.kind == Ask::Kind::fetch) return {0, 0, false};
+  return {ask.text, ask.history};
+}
+
+json toJson(const Reply& reply, const Reader& reader, const Shelf* shelf, bool spare) {
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
   if (reply.text != 0) out["x"] = reply.text;
-  if (reply.accepted.number > 0) {
+  if (reply.history != 0) out["g"] = reply.history;
+  if (reply.ok && reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
       out["i"] = true;
     } else {
-      out["v"] = toJson(reply.value, has, shelf, spare);
+      out["v"] = toJson(reply.value, reader, shelf, spare);
     }
   }
   return out;
@@ -178,6 +242,7 @@
   reply.asleep = j.value("z", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
+  reply.history = j.value("g", std::uint64_t{0});
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
@@ -204,7 +269,7 @@
                      {"awake", awake_},
                      {"promised", toJson(promised_)},
                      {"accepted", toJson(accepted_)},
-                     {"value", toJson(value_, apart)},
+                     {"value", toJson(value_, Reader{apart})},
                      {"lives", std::move(lives)}};
   return {head.dump(), value_.config};
 }
@@ -231,8 +296,15 @@
 }
 
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
+  return {ok,
+          !awake_,
+          life_,
+          promised_,
+          accepted_,
+          value_,
+          same,
+          value_.config ? value_.config->id() : 0,
+          idOf(value_.history)};
 }
 
 // False where the life named is over.
@@ -250,7 +322,9 @@
     case Ask::Kind::prepare:
       if (ask.ballot < promised_) return {answer(false), false};
       promised_ = ask.ballot;
-      return {answer(true, !ask.have.empty() && ask.have == value_.stamp), true};
+      return {answer(true, !ask.have.empty() && ask.have == value_.stamp &&
+                               ask.history == idOf(value_.history)),
+              true};
     case Ask::Kind::accept: {
       if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
       for (const auto& [node, life] : ask.lives) {
@@ -275,6 +349,11 @@
   return {answer(false), false};
 }
 
+Value Ledge::basisOf(Value known) const {
+  if (!known.history && known.stamp == value_.stamp) known.history = value_.history;
+  return known;
+}
+
 std::optional<Ask> Ledge::rejoinAsk() const {
   if (awake_) return std::nullopt;
   Ask ask;
@@ -367,6 +446,7 @@
       ask.ballot = ballot_;
       ask.have = basis_.stamp;
       ask.text = held_ ? held_->id() : basis_.config ? basis_.config->id() : 0;
+      ask.history = idOf(basis_.history);
       out.push_back({voter, ask, round_});
     }
   }
@@ -392,6 +472,7 @@
 std::vector<Climber::Send> Climber::reply(const NodeId& from, std::uint64_t round,
                                           const Reply& reply, Instant now) {
   highest_ = std::max(highest_, reply.promised.number);
+  if (!reply.asleep) histories_[from] = reply.history;
   if (result_ || round != round_ || waiting_) return {};
   if (reply.asleep) return {};
   if (!reply.ok) return backOff(now);
@@ -431,6 +512,15 @@
   return {{bestFrom_, ask, round_}};
 }
 
+// The history that a voter is sent only what comes after. One that hasn't answered yet is taken to
+// have the one read, but only in the first accept round of a climb: whoever can't make the next one
+// of that doesn't answer, and must get it whole in the next round.
+std::uint64_t Climber::historyAt(const NodeId& voter) const {
+  const auto said = histories_.find(voter);
+  if (said != histories_.end()) return said->second;
+  return assumed_ || !asked_.contains(voter) ? 0 : idOf(old_.history);
+}
+
 // A majority has promised: decide what the register is to hold next.
 std::vector<Climber::Send> Climber::promised(Instant now) {
   if (bestBallot_.number == 0 && basis_.sequence > 0) return {};  // can't be: the basis was chosen
@@ -468,8 +558,10 @@
   for (const auto& node : all) {
     const auto promise = promises_.find(node);
     ask.text = promise == promises_.end() ? 0 : promise->second.text;
+    ask.history = historyAt(node);
     out.push_back({node, ask, round_});
   }
+  assumed_ = true;
   return out;
 }
 
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -16,6 +16,7 @@
 
 #include "errors.hpp"
 #include "units.hpp"
+#include "version/history.hpp"
 #include "version/signboard.hpp"
 
 namespace merlin::cairn {
@@ -34,11 +35,9 @@
   Signboard::Ptr config;       // JSON as the operator wrote it, null at first
   std::uint64_t absent = 0;    // names a text that was not sent along
   Revision configRevision;
-  struct Taken {
-    Revision revision;
-    std::string digest;  // of the operator's call, to know it again
-  };
-  std::vector<Taken> recent;
+  // Its last entry made `configRevision`. Null is the same as one whose floor is that: nothing is
+  // known of the orders before. So whoever leaves it out can only make answers unclear.
+  History::Ptr history;
   std::vector<NodeId> voters;
   std::vector<NodeId> before;  // the voters being left, until the change of voters is done
 
@@ -52,13 +51,24 @@
   return extraTime(value.config ? value.config->text().size() : 0);
 }
 
+// What the reader of a value is known to have (0: nothing): then only what differs is written.
+struct Reader {
+  std::uint64_t text = 0;
+  std::uint64_t history = 0;
+  bool wantsHistory = true;  // else it is left out
+};
+
+inline void keepOn(Shelf& shelf, const Value& value) {
+  shelf.put(value.config);
+  shelf.put(value.history);
+}
+
 nlohmann::json toJson(const Ballot& ballot);
 Ballot ballotFrom(const nlohmann::json& j);
-// `has` is the text that the reader is known to have (0: none): then only what differs is written.
 // `spare`: a large text that the reader lacks is only named.
-nlohmann::json toJson(const Value& value, std::uint64_t has = 0, const Shelf* shelf = nullptr,
+nlohmann::json toJson(const Value& value, const Reader& reader = {}, const Shelf* shelf = nullptr,
                       bool spare = false);
-// Throws where the text can't be made of what is on the shelf.
+// Throws where the text or the history can't be made of what is on the shelf.
 Value valueFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 // Messages. One shape for all of them keeps the wire small and the runner simple.
@@ -73,7 +83,10 @@
   std::string have;              // prepare: stamp of the value the asker holds already
   std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
                                  // accept (not sent): the reader's
+  std::uint64_t history = 0;     // prepare: the one the asker has; accept (not sent): the reader's
 };
+// How a reply to it is written.
+Reader readerOf(const Ask& ask);
 
 struct Reply {
   bool ok = false;
@@ -84,12 +97,13 @@
   Value value;
   bool same = false;       // the value is the one the asker holds: it is not sent again
   std::uint64_t text = 0;  // which text this voter has
+  std::uint64_t history = 0;
 };
 
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
 Ask askFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
-// `has`: the text that the asker said it has.
-nlohmann::json toJson(const Reply& reply, std::uint64_t has = 0, const Shelf* shelf = nullptr,
+// A refusal carries no value.
+nlohmann::json toJson(const Reply& reply, const Reader& reader = {}, const Shelf* shelf = nullptr,
                       bool spare = false);
 Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
@@ -116,6 +130,8 @@
   [[nodiscard]] std::optional<Ask> rejoinAsk() const;
   bool rejoinReply(const NodeId& from, const Reply& reply, const Value& known);
 
+  // A chosen value as a basis for a climb. News come without the history; the voter may have it.
+  [[nodiscard]] Value basisOf(Value known) const;
   [[nodiscard]] bool awake() const { return awake_; }
   [[nodiscard]] const Value& value() const { return value_; }
   [[nodiscard]] const Ballot& accepted() const { return accepted_; }
@@ -180,6 +196,7 @@
   std::vector<Send> backOff(Instant now);
   void accepted();
   [[nodiscard]] bool everySame() const;
+  [[nodiscard]] std::uint64_t historyAt(const NodeId& voter) const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
   NodeId self_;
@@ -200,6 +217,8 @@
   NodeId bestFrom_;
   int refusals_ = 0;
   std::set<NodeId> asked_;
+  std::map<NodeId, std::uint64_t> histories_;  // which one a voter last said it has
+  bool assumed_ = false;
   std::map<NodeId, Reply> promises_;
   std::set<NodeId> accepts_;
   Value bestValue_;
--- a/src/version/signboard.cpp
+++ b/src/version/signboard.cpp
@@ -138,16 +138,28 @@
   return board->id() == id ? board : nullptr;
 }
 
-void Shelf::put(const Signboard::Ptr& board) {
-  if (!board || find(board->id())) return;
-  boards_.push_back(board);
-  if (boards_.size() > kKept) boards_.pop_front();
+namespace {
+template <class Ptr>
+Ptr findIn(const std::deque<Ptr>& items, std::uint64_t id) {
+  const auto it =
+      std::find_if(items.begin(), items.end(), [id](const auto& item) { return item->id() == id; });
+  return it == items.end() ? nullptr : *it;
 }
 
-Signboard::Ptr Shelf::find(std::uint64_t id) const {
-  const auto it = std::find_if(boards_.begin(), boards_.end(),
-                               [id](const auto& board) { return board->id() == id; });
-  return it == boards_.end() ? nullptr : *it;
+template <class Ptr>
+void putIn(std::deque<Ptr>& items, const Ptr& item) {
+  if (!item || (!items.empty() && items.back() == item)) return;
+  const auto there = findIn(items, item->id());
+  if (there) std::erase(items, there);
+  items.push_back(there ? there : item);
+  if (items.size() > kKept) items.pop_front();
 }
+}  // namespace
+
+void Shelf::put(const Signboard::Ptr& board) { putIn(boards_, board); }
+void Shelf::put(const History::Ptr& history) { putIn(histories_, history); }
+
+Signboard::Ptr Shelf::find(std::uint64_t id) const { return findIn(boards_, id); }
+History::Ptr Shelf::findHistory(std::uint64_t id) const { return findIn(histories_, id); }
 
 }  // namespace merlin::cairn
--- a/src/version/signboard.hpp
+++ b/src/version/signboard.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "version/history.hpp"
+
 namespace merlin::cairn {
 
 class Signboard {
@@ -33,14 +35,18 @@
   mutable std::uint64_t deltaOf_ = 0;
 };
 
-// The last few texts that this node has held, to read and write what differs from them.
+// The last few texts and histories that this node has held, to read and write what differs from
+// them. What is put again stays longest.
 class Shelf {
  public:
   void put(const Signboard::Ptr& board);
+  void put(const History::Ptr& history);
   [[nodiscard]] Signboard::Ptr find(std::uint64_t id) const;
+  [[nodiscard]] History::Ptr findHistory(std::uint64_t id) const;
 
  private:
   std::deque<Signboard::Ptr> boards_;
+  std::deque<History::Ptr> histories_;
 };
 
 }  // namespace merlin::cairn
--- a/tests/hollow.hpp
+++ b/tests/hollow.hpp
@@ -105,7 +105,7 @@
         [this]() -> const std::vector<NodeId>& { return terms_.seeds; }, *book_,
         [this]() -> const cairn::Value& { return value_; },
         [this](std::uint64_t has) -> const std::string& {
-          text_ = cairn::toJson(value_, shelf_.find(has) ? has : 0, &shelf_).dump();
+          text_ = cairn::toJson(value_, {shelf_.find(has) ? has : 0}, &shelf_).dump();
           return text_;
         },
         [this](const nlohmann::json& j) { return cairn::valueFrom(j, &shelf_); },
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -1,18 +1,22 @@
 // The register under faults: voters with disks, proposers that may die, a network that delays and
 // loses. The history of calls is checked against one order of changes.
 #include <algorithm>
+#include <iomanip>
 #include <memory>
 #include <optional>
 #include <set>
 
 #include "runner.hpp"
+#include "version/orders.hpp"
 #include "version/register.hpp"
 
 namespace merlin::test {
 
 using cairn::Ask;
 using cairn::Climber;
+using cairn::History;
 using cairn::Ledge;
+using cairn::Order;
 using cairn::Reply;
 using cairn::Value;
 
@@ -38,9 +42,25 @@
   bool read = false;
   std::int64_t base = 0;
   std::int64_t revision = 0;  // written or read
-  std::string digest;
+  std::uint64_t digest = 0;
   enum class End { open, ok, refused, unclear } end = End::open;
   Value seen;
+  std::function<void()> then;  // runs once it has ended
+};
+
+// An order as an operator sends it, again and again.
+struct Sent {
+  std::int64_t base = 0;
+  std::int64_t revision = 0;
+  std::string name;
+};
+
+// A few operators as one: `width` orders under way, each sent again until its answer is clear.
+struct Operator {
+  int left = 0;     // orders yet to be begun
+  double lost = 0;  // of the answers
+  std::int64_t newest = 0;
+  std::vector<Sent> sent;
 };
 
 class RegisterWorld {
@@ -70,6 +90,11 @@
         clock_.after(clock_.uniform(0, length * 0.8), [this] { randomCall(); });
       }
     }
+    for (const auto* line : linesOf(s_, "operator")) {  // operator ORDERS WIDTH LOST
+      operator_.left = std::stoi(line->words.at(1));
+      operator_.lost = std::stod(line->words.at(3));
+      for (int i = 0; i < std::stoi(line->words.at(2)); ++i) nextOrder();
+    }
     tick();
     clock_.runUntil(length);
     // Everything heals, and a last read must show it all.
@@ -81,8 +106,16 @@
     }
     cuts_.clear();
     clock_.runUntil(length + 3000);
+    // All orders once more, one after the other, in calm.
+    operator_.left = 0;
+    std::vector<std::shared_ptr<Call>> again;
+    for (const auto& order : operator_.sent) {
+      again.push_back(startPut(*machines_[pickLive()], order));
+      clock_.runUntil(clock_.ms() + 60);
+    }
+    clock_.runUntil(clock_.ms() + 1000);
     const auto last = startRead(*machines_[pickLive()]);
-    clock_.runUntil(length + 6000);
+    clock_.runUntil(clock_.ms() + 3000);
     require(last->end == Call::End::ok, "the register can't be read after everything has healed");
     double broken = 0;
     try {
@@ -111,6 +144,11 @@
            {"awake", awake},
            {"voters", static_cast<double>(last->seen.voters.size())},
            {"epoch", static_cast<double>(last->seen.epoch)},
+           {"kilobytes", sentBytes_ / 1024},
+           {"versions", static_cast<double>(inForce_.size())},
+           {"again_acked", ends(again, Call::End::ok)},
+           {"again_refused", ends(again, Call::End::refused)},
+           {"again_unclear", ends(again, Call::End::unclear)},
            {"broken", broken}};
   }
 
@@ -129,8 +167,12 @@
     clock_.after(at, [this, w] {
       const auto& what = w.at(2);
       if (what == "put") {  // put NODE BASE REVISION [copy]
-        startPut(machine(w.at(3)), std::stoll(w.at(4)), std::stoll(w.at(5)),
-                 w.size() > 6 ? w[6] : "");
+        startPut(machine(w.at(3)), {std::stoll(w.at(4)), std::stoll(w.at(5)),
+                                    w.size() > 6 ? w[6] : "d" + std::to_string(++names_)});
+      } else if (what == "older") {  // all disks as the version of the program before wrote them
+        for (auto& m : machines_) {
+          if (m->disk) m->disk->head = asBefore(m->disk->head);
+        }
       } else if (what == "read") {
         startRead(machine(w.at(3)));
       } else if (what == "kill" || what == "power" || what == "wipe") {
@@ -185,7 +227,7 @@
     // A fault of its own: one that lost its disk votes as if nothing had been.
     if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, fault("forgetful"));
     m.shelf = cairn::Shelf();
-    m.shelf.put(m.ledge->value().config);
+    keepOn(m.shelf, m.ledge->value());
     m.wiped = false;
   }
 
@@ -206,12 +248,76 @@
     // Operators build on what they last saw acknowledged, sometimes on something older.
     const std::int64_t base =
         clock_.chance(0.85) ? newest_ : std::max<std::int64_t>(0, newest_ - 2);
-    startPut(m, base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3), "");
+    startPut(m, {base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3),
+                 "d" + std::to_string(++names_)});
+  }
+
+  // On top of what was last acknowledged: those under way at once are rivals, some with one number.
+  void nextOrder() {
+    if (operator_.left <= 0) return;
+    --operator_.left;
+    const Sent order{operator_.newest,
+                     operator_.newest + 1 + static_cast<std::int64_t>(clock_.random() % 3),
+                     "o" + std::to_string(++names_)};
+    operator_.sent.push_back(order);
+    send(order, 0);
+    // Two operators with one text; and an order of long ago, as a storm delays it.
+    if (clock_.chance(0.1)) startPut(*machines_[pickLive()], order);
+    if (clock_.chance(0.3)) {
+      startPut(*machines_[pickLive()], operator_.sent[clock_.random() % operator_.sent.size()]);
+    }
+  }
+
+  void send(const Sent& order, int tries) {
+    constexpr int kTries = 30;
+    const auto over = std::make_shared<bool>(false);
+    const auto call = startPut(*machines_[pickLive()], order);
+    const auto heard = [this, order, tries, over, call](bool silent) {
+      if (*over) return;
+      *over = true;
+      const bool lost = silent || clock_.chance(operator_.lost);
+      if (lost || call->end == Call::End::unclear) {
+        const double pause = clock_.uniform(20, 60.0 * (1 + std::min(tries, 5)));
+        if (tries < kTries) clock_.after(pause, [this, order, tries] { send(order, tries + 1); });
+        return;
+      }
+      operator_.newest = std::max(operator_.newest, call->seen.configRevision.value);
+      clock_.after(clock_.uniform(1, 30), [this] { nextOrder(); });
+    };
+    call->then = [heard] { heard(false); };
+    clock_.after(1000, [heard] { heard(true); });
+  }
+
+  // The record of the program before: the last 32 orders, each with its whole digest.
+  static std::string asBefore(const std::string& text) {
+    auto head = nlohmann::json::parse(text);
+    auto& value = head["value"];
+    if (!value.contains("h")) return text;
+    const auto& h = value["h"];
+    const auto history = History::unpack(Revision{h["f"].get<std::int64_t>()},
+                                         h["s"].get<std::uint64_t>(), h["a"].get<std::string>());
+    constexpr std::size_t kBefore = 32;
+    const auto& entries = history->entries();
+    auto recent = nlohmann::json::array();
+    for (auto i = entries.size() - std::min(entries.size(), kBefore); i < entries.size(); ++i) {
+      std::ostringstream hex;
+      hex << std::hex << std::setw(16) << std::setfill('0') << entries[i].digest
+          << std::string(24, '7');
+      recent.push_back(nlohmann::json::array({entries[i].revision.value, hex.str()}));
+    }
+    value.erase("h");
+    value["r"] = std::move(recent);
+    return head.dump();
+  }
+
+  static double ends(const std::vector<std::shared_ptr<Call>>& calls, Call::End end) {
+    return static_cast<double>(
+        std::count_if(calls.begin(), calls.end(), [end](const auto& c) { return c->end == end; }));
   }
 
   // Large enough to be packed, sent as a delta, or only named.
-  std::string textOf(const std::string& digest) const {
-    std::string out = "[{\"n\":\"" + digest + "\"}";
+  std::string textOf(const Sent& sent) const {
+    std::string out = "[{\"n\":\"" + sent.name + "/" + std::to_string(sent.revision) + "\"}";
     const int items = static_cast<int>(number(s_, "items", 2));
     for (int i = 0; i < items; ++i) out += ",{\"r\":" + std::to_string(i * 7919) + "}";
     return out + "]";
@@ -224,26 +330,30 @@
     return call;
   }
 
-  void startPut(Machine& m, std::int64_t base, std::int64_t revision, const std::string& copyOf) {
+  std::shared_ptr<Call> startPut(Machine& m, const Sent& sent) {
+    const auto text = textOf(sent);
+    const Order order{
+        true, Revision{sent.base}, cairn::orderDigest(true, std::to_string(sent.base), text),
+        std::make_shared<const nlohmann::json>(nlohmann::json{{"revision", sent.revision}}),
+        cairn::Signboard::of(text)};
     auto call = std::make_shared<Call>();
-    call->base = base;
-    call->revision = revision;
-    call->digest = copyOf.empty() ? "d" + std::to_string(++digests_) : copyOf;
-    run(m, call, [this, base, revision, digest = call->digest](const Value& current, Value& next) {
-      Climber::Verdict verdict;
-      for (const auto& taken : current.recent) {
-        if (taken.digest == digest) return verdict;
-      }
-      if (current.configRevision.value != base) {
-        verdict.kind = Climber::Verdict::Kind::refuse;
-        return verdict;
+    call->base = sent.base;
+    call->revision = sent.revision;
+    call->digest = order.digest;
+    cairn::OrderTerms terms;
+    // A fault of its own: the last few orders are known, and whatever isn't known is refused.
+    const bool forgets = fault("forget_orders");
+    const bool hasty = fault("refuse_ahead");
+    terms.most = forgets ? 4 : static_cast<std::size_t>(number(s_, "history", History::kMost));
+    run(m, call, [order, terms, forgets, hasty](const Value& current, Value& next) {
+      auto verdict = decide(order, terms, current, next);
+      if ((forgets && verdict.error == ErrorKind::orderForgotten) ||
+          (hasty && verdict.error == ErrorKind::baseAhead)) {
+        verdict.error = ErrorKind::otherVersion;
       }
-      verdict.kind = Climber::Verdict::Kind::put;
-      next.configRevision = Revision{revision};
-      next.config = cairn::Signboard::of(textOf(digest));
-      next.recent.push_back({Revision{revision}, digest});
       return verdict;
     });
+    return call;
   }
 
   void startVoters(Machine& m, const std::vector<NodeId>& set) {
@@ -265,8 +375,8 @@
     if (!m.ledge) return;
     call->began = clock_.ms();
     calls_.push_back(call);
-    auto climber =
-        std::make_shared<Climber>(m.id, m.known, std::move(change), clock_.random() >> 1);
+    auto climber = std::make_shared<Climber>(m.id, m.ledge->basisOf(m.known), std::move(change),
+                                             clock_.random() >> 1);
     carry(m, call, climber, climber->start(clock_.now(), std::chrono::milliseconds(900)));
   }
 
@@ -274,12 +384,14 @@
              const std::vector<Climber::Send>& sends) {
     const int life = m.life;
     for (const auto& send : sends) {
-      deliver(m.id, send.to, [this, &m, call, climber, send, life] {
+      const auto sent = toJson(send.ask, &m.shelf).dump();
+      sentBytes_ += static_cast<double>(sent.size());
+      deliver(m.id, send.to, [this, &m, call, climber, send, sent, life] {
         auto& voter = machine(send.to.str());
-        answer(voter, send.ask, [this, &m, &voter, call, climber, send, life](Reply r) {
+        answer(voter, sent, [this, &m, &voter, call, climber, send, life](Reply r) {
           const bool spare = send.ask.kind == Ask::Kind::prepare;
-          const bool fetch = send.ask.kind == Ask::Kind::fetch;
-          const auto text = toJson(r, fetch ? 0 : send.ask.text, &voter.shelf, spare).dump();
+          const auto text = toJson(r, readerOf(send.ask), &voter.shelf, spare).dump();
+          sentBytes_ += static_cast<double>(text.size());
           deliver(send.to, m.id, [this, &m, call, climber, send, life, text] {
             if (m.life != life || climber->result()) return;
             // Messages cross the wire as text: what JSON drops must not be missed.
@@ -289,7 +401,7 @@
             } catch (const std::exception&) {
               return;  // the text that it rests on has gone from the shelf since
             }
-            m.shelf.put(reply.value.config);
+            keepOn(m.shelf, reply.value);
             carry(m, call, climber, climber->reply(send.to, send.round, reply, clock_.now()));
           });
         });
@@ -311,15 +423,33 @@
     call.ended = clock_.ms();
     if (!result.known) {
       call.end = Call::End::unclear;
+      if (call.then) call.then();
       return;
     }
     call.seen = result.chosen;
-    call.end = result.ok ? Call::End::ok : Call::End::refused;
+    const bool clear = answerFor(result.error).status < 500;
+    call.end = result.ok ? Call::End::ok : clear ? Call::End::refused : Call::End::unclear;
     if (call.read) call.revision = result.chosen.configRevision.value;
     if (result.chosen.sequence > m.known.sequence) m.known = result.chosen;
-    m.shelf.put(m.known.config);
+    keepOn(m.shelf, m.known);
     m.ahead = -1;
+    news(m.known);
     if (call.end == Call::End::ok) newest_ = std::max(newest_, call.revision);
+    if (call.then) call.then();
+  }
+
+  // What was chosen is told on, without its history.
+  void news(Value value) {
+    value.history = nullptr;
+    for (const auto& owned : machines_) {
+      if (number(s_, "news", 0) == 0 || !clock_.chance(number(s_, "news", 0))) continue;
+      clock_.after(clock_.uniform(5, 100), [this, &m = *owned, value] {
+        if (!m.ledge || m.frozenUntil > clock_.ms()) return;
+        if (value.sequence <= m.known.sequence) return;
+        m.known = value;
+        keepOn(m.shelf, m.known);
+      });
+    }
   }
 
   // A message from one machine to another: late, lost or cut off.
@@ -338,16 +468,16 @@
   }
 
   // The voter's side with its disk: the reply waits for the sync of what it rests on.
-  void answer(Machine& m, const Ask& sent, std::function<void(Reply)> back) {
+  void answer(Machine& m, const std::string& sent, std::function<void(Reply)> back) {
     if (!m.ledge) return;
     Ask ask;
     try {
-      ask = cairn::askFrom(nlohmann::json::parse(toJson(sent).dump()), &m.shelf);
+      ask = cairn::askFrom(nlohmann::json::parse(sent), &m.shelf);
     } catch (const std::exception&) {
       return;  // it was wiped since it said which text it has: no answer
     }
     const auto out = m.ledge->ask(ask);
-    m.shelf.put(m.ledge->value().config);
+    keepOn(m.shelf, m.ledge->value());
     const int life = m.life;
     const auto state = m.ledge->save();
     const double hung = std::max(0.0, m.hungUntil - clock_.ms());
@@ -369,10 +499,10 @@
           if (voter == m.id) continue;
           const int life = m.life;
           deliver(m.id, voter, [this, &m, voter, ask, life] {
-            answer(machine(voter.str()), *ask, [this, &m, voter, life](Reply r) {
+            answer(machine(voter.str()), toJson(*ask).dump(), [this, &m, voter, life](Reply r) {
               deliver(voter, m.id, [&m, voter, life, r] {
                 if (m.life != life || !m.ledge) return;
-                if (m.ledge->rejoinReply(voter, r, m.known)) m.shelf.put(m.ledge->value().config);
+                if (m.ledge->rejoinReply(voter, r, m.known)) keepOn(m.shelf, m.ledge->value());
               });
             });
           });
@@ -407,9 +537,10 @@
         }
         require(b->seen.sequence >= a->seen.sequence, "a later call saw an older value");
         if (a->read || a->end != Call::End::ok) continue;
-        const bool there = std::any_of(b->seen.recent.begin(), b->seen.recent.end(),
-                                       [&](const auto& t) { return t.digest == a->digest; });
-        require(there, "an acknowledged change is gone: " + a->digest);
+        const auto& history = b->seen.history;
+        const bool there = history && (history->floor().value >= a->revision ||
+                                       history->holds({Revision{a->revision}, a->digest}));
+        require(there, "an acknowledged change is gone: " + std::to_string(a->revision));
       }
     }
     std::map<std::uint64_t, std::string> chain;
@@ -419,23 +550,29 @@
       require(stamp.empty() || stamp == call->seen.stamp, "two values chosen under one sequence");
       stamp = call->seen.stamp;
     }
-    for (const auto& a : calls_) {
-      if (a->read || a->end != Call::End::refused) continue;
-      for (const auto& b : calls_) {
-        for (const auto& taken : b->seen.recent) {
-          require(taken.digest != a->digest || sameCallTaken(*a), "a refused change is in force");
-        }
+    // What was ever in force, by revision: one order each, and each on the one before.
+    for (const auto& call : calls_) {
+      if (!call->seen.history) continue;
+      const History::Entry* before = nullptr;
+      for (const auto& entry : call->seen.history->entries()) {
+        const auto [made, fresh] = inForce_.emplace(entry.revision.value, entry.digest);
+        require(made->second == entry.digest,
+                "two orders made version " + std::to_string(entry.revision.value));
+        if (fresh && before != nullptr) builtOn_[entry.digest] = before->revision.value;
+        before = &entry;
       }
     }
-  }
-
-  // The same call sent through two nodes: one may have been told 412 only if the other wasn't
-  // taken.
-  bool sameCallTaken(const Call& refused) const {
-    return std::any_of(calls_.begin(), calls_.end(), [&](const auto& c) {
-      return c.get() != &refused && !c->read && c->digest == refused.digest &&
-             c->began < refused.ended;
-    });
+    std::set<std::uint64_t> taken;
+    for (const auto& [revision, digest] : inForce_) taken.insert(digest);
+    for (const auto& call : calls_) {
+      if (call->read) continue;
+      // Whichever copy of it was refused, wherever and whenever.
+      const bool there = taken.contains(call->digest);
+      require(call->end != Call::End::refused || !there, "a refused order is in force");
+      const auto base = builtOn_.find(call->digest);
+      require(base == builtOn_.end() || base->second == call->base,
+              "an order was built on another version than its base");
+    }
   }
 
   const Scenario& s_;
@@ -445,7 +582,11 @@
   std::vector<std::shared_ptr<Call>> calls_;
   std::set<NodeId> cuts_;
   std::int64_t newest_ = 0;
-  int digests_ = 0;
+  int names_ = 0;
+  double sentBytes_ = 0;
+  Operator operator_;
+  std::map<std::int64_t, std::uint64_t> inForce_;  // revision -> order
+  std::map<std::uint64_t, std::int64_t> builtOn_;  // order -> revision
   bool healed_ = false;
 };
 
