--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -136,7 +136,7 @@
   auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_(),
                                        roundTime());
   climb->told = std::move(told);
-  if (ledge_) climb->climber.holds(ledge_->value().config);
+  climb->climber.holds(ledge_ ? ledge_->value().config : nullptr, shelf_.newestHistory());
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
 
@@ -153,8 +153,9 @@
     }
     parts_.wire.post(send.to, "/register", toJson(send.ask, &shelf_),
                      kVoterLimit + cairn::extraTime(send.ask.value),
-                     [this, back](std::optional<json> answer) {
+                     [this, climb, back](std::optional<json> answer) {
                        if (!answer) return;
+                       climb->climber.putOn(shelf_);
                        try {
                          back(cairn::replyFrom(*answer, &shelf_));
                        } catch (const std::exception&) {
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -446,13 +446,19 @@
       ask.ballot = ballot_;
       ask.have = basis_.stamp;
       ask.text = held_ ? held_->id() : basis_.config ? basis_.config->id() : 0;
-      ask.history = idOf(basis_.history);
+      ask.history = idOf(ownHistory());
       out.push_back({voter, ask, round_});
     }
   }
   return out;
 }
 
+void Climber::putOn(Shelf& shelf) const {
+  keepOn(shelf, basis_);
+  shelf.put(held_);
+  shelf.put(heldHistory_);
+}
+
 bool Climber::everySame() const {
   for (const auto& [node, promise] : promises_) {
     if (promise.accepted != bestBallot_) return false;
@@ -491,6 +497,7 @@
   if (reply.accepted > bestBallot_) {
     bestBallot_ = reply.accepted;
     bestValue_ = reply.same ? basis_ : reply.value;
+    if (reply.same) bestValue_.history = ownHistory();  // it is the one the voter has
     bestFrom_ = from;
   }
   if (bestValue_.absent != 0 && held_ && held_->id() == bestValue_.absent) {
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -186,8 +186,13 @@
   [[nodiscard]] const std::optional<Result>& result() const { return result_; }
   // When `tick` is next wanted.
   [[nodiscard]] Instant wake() const { return std::min(roundEnds_, ends_); }
-  // A text at hand besides the basis', so that voters need not send it.
-  void holds(const Signboard::Ptr& text) { held_ = text; }
+  // A text and a history at hand besides the basis', so that voters need not send them.
+  void holds(const Signboard::Ptr& text, const History::Ptr& history) {
+    held_ = text;
+    heldHistory_ = history;
+  }
+  // What the voters were told is at hand must be there when their answers are read.
+  void putOn(Shelf& shelf) const;
 
  private:
   std::vector<Send> newRound(Instant now);
@@ -196,6 +201,9 @@
   std::vector<Send> backOff(Instant now);
   void accepted();
   [[nodiscard]] bool everySame() const;
+  [[nodiscard]] const History::Ptr& ownHistory() const {
+    return basis_.history ? basis_.history : heldHistory_;
+  }
   [[nodiscard]] std::uint64_t historyAt(const NodeId& voter) const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
@@ -214,6 +222,7 @@
   bool waiting_ = false;
   bool fetching_ = false;
   Signboard::Ptr held_;
+  History::Ptr heldHistory_;
   NodeId bestFrom_;
   int refusals_ = 0;
   std::set<NodeId> asked_;
--- a/src/version/signboard.cpp
+++ b/src/version/signboard.cpp
@@ -162,4 +162,11 @@
 Signboard::Ptr Shelf::find(std::uint64_t id) const { return findIn(boards_, id); }
 History::Ptr Shelf::findHistory(std::uint64_t id) const { return findIn(histories_, id); }
 
+History::Ptr Shelf::newestHistory() const {
+  const auto newest =
+      std::max_element(histories_.begin(), histories_.end(),
+                       [](const auto& a, const auto& b) { return a->last() < b->last(); });
+  return newest == histories_.end() ? nullptr : *newest;
+}
+
 }  // namespace merlin::cairn
--- a/src/version/signboard.hpp
+++ b/src/version/signboard.hpp
@@ -43,6 +43,7 @@
   void put(const History::Ptr& history);
   [[nodiscard]] Signboard::Ptr find(std::uint64_t id) const;
   [[nodiscard]] History::Ptr findHistory(std::uint64_t id) const;
+  [[nodiscard]] History::Ptr newestHistory() const;  // null if there is none
 
  private:
   std::deque<Signboard::Ptr> boards_;
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -377,6 +377,7 @@
     calls_.push_back(call);
     auto climber = std::make_shared<Climber>(m.id, m.ledge->basisOf(m.known), std::move(change),
                                              clock_.random() >> 1);
+    if (number(s_, "news", 0) > 0) climber->holds(nullptr, m.shelf.newestHistory());
     carry(m, call, climber, climber->start(clock_.now(), std::chrono::milliseconds(900)));
   }
 
@@ -395,6 +396,7 @@
           deliver(send.to, m.id, [this, &m, call, climber, send, life, text] {
             if (m.life != life || climber->result()) return;
             // Messages cross the wire as text: what JSON drops must not be missed.
+            climber->putOn(m.shelf);
             Reply reply;
             try {
               reply = cairn::replyFrom(nlohmann::json::parse(text), &m.shelf);
