--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -178,25 +178,40 @@
     return EXIT_OK;
   }
 
+  // EXIT_TEMPFAIL: an order that was sent and got no clear answer; it may be taken or not.
   int exchange(Poco::Net::HTTPRequest& request, const std::string& body) const {
+    const bool order = request.getMethod() == Poco::Net::HTTPRequest::HTTP_POST;
+    bool sent = false;
     try {
       const Poco::Net::SocketAddress address(node_);
       Poco::Net::HTTPClientSession session(address);
       session.setTimeout(Poco::Timespan(10, 0));
       request.setContentLength(static_cast<std::streamsize>(body.size()));
-      session.sendRequest(request) << body;
+      auto& out = session.sendRequest(request);
+      sent = true;
+      out << body;
       Poco::Net::HTTPResponse response;
       auto& stream = session.receiveResponse(response);
-      const bool good = response.getStatus() == 200;
+      const int status = response.getStatus();
+      const bool good = status == 200;
       Poco::StreamCopier::copyStream(stream, good ? std::cout : std::cerr);
-      if (good) std::cout << "\n";
-      return good ? EXIT_OK : EXIT_UNAVAILABLE;
+      (good ? std::cout : std::cerr) << "\n";
+      if (good) return EXIT_OK;
+      if (order && status >= 500) return unclear();
+      const bool invalid = status == Poco::Net::HTTPResponse::HTTP_BAD_REQUEST ||
+                           status == Poco::Net::HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+      return order && invalid ? EXIT_DATAERR : EXIT_UNAVAILABLE;
     } catch (const Poco::Exception& problem) {
       std::cerr << "merlinhut: " << problem.displayText() << "\n";
-      return EXIT_UNAVAILABLE;
+      return order && sent ? unclear() : EXIT_UNAVAILABLE;
     }
   }
 
+  static int unclear() {
+    std::cerr << "merlinhut: no clear answer, send the same again\n";
+    return EXIT_TEMPFAIL;
+  }
+
   int get(const std::string& call) const {
     Poco::Net::HTTPRequest request("GET", call, "HTTP/1.1");
     return exchange(request, "");
--- a/tests/orders.cpp
+++ b/tests/orders.cpp
@@ -89,6 +89,23 @@
   const auto early = answer(3, changes + 5, body(changes + 5));
   require(early.status == 503 && early.headers.contains("Retry-After"),
           "one on a version that isn't there yet is not refused");
+  // The same at the command line.
+  const auto put = [&](int base, const std::string& text) {
+    const auto file =
+        std::filesystem::temp_directory_path() / ("order-" + std::to_string(::getpid()));
+    std::ofstream(file) << text;
+    const auto line = program + " config put " + file.string() +
+                      " --node=" + at(cores[1], kControl) + " --base=" + std::to_string(base) +
+                      " >/dev/null 2>&1";
+    const int status = std::system(line.c_str());
+    std::filesystem::remove(file);
+    return WEXITSTATUS(status);
+  };
+  eventually("config put of an order that was taken ends with 0",
+             [&] { return put(revision(changes - 2), body(changes - 1)) == 0; });
+  eventually("of a rival with 69", [&] { return put(revision(changes - 2), body(changes)) == 69; });
+  require(put(revision(changes), "{}") == 65, "of what is no configuration with 65");
+  require(put(revision(changes) + 5, body(changes + 5)) == 75, "without a clear answer with 75");
   // On disks and through a loss of two of them.
   for (const auto& ip : cores) mesh.stop(ip, SIGKILL);
   mesh.wipe(cores[0]);
