A message that rests on what isn't on the shelf is no foreign one; docs of orders

Cause: a voter that lags by a version may be sent what comes after a history that it doesn't have yet. It gave no answer, as meant, but the log called it a foreign message (once in 600 changes on five loopback nodes). Now it answers 503 without a line.

--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -224,6 +224,8 @@
         return;
       }
       visit->fail(ErrorKind::unknownCall);
+    } catch (const cairn::NotOnShelf&) {
+      visit->fail(ErrorKind::noMajority);  // it is sent whole the next time
     } catch (const std::exception& problem) {
       // As of another version of this program: one line now and then, not one a message.
       if (foreignAt_ == Instant() || bell_.now() - foreignAt_ > kForeignEvery) {
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -76,7 +76,10 @@
     board = Signboard::unpack(j.at("z").get<std::string>(), id);
   } else if (j.contains("d") && shelf != nullptr) {
     const auto base = shelf->find(j.at("o").get<std::uint64_t>());
-    if (base) board = Signboard::apply(*base, j.at("d").get_ref<const std::string&>(), id);
+    if (!base) throw NotOnShelf("a text that can't be made here");
+    board = Signboard::apply(*base, j.at("d").get_ref<const std::string&>(), id);
+  } else {
+    throw NotOnShelf("a text that isn't here");
   }
   if (!board || board->id() != id) throw std::out_of_range("a text that can't be made here");
   return board;
@@ -114,14 +117,17 @@
                               j.at("a").get_ref<const std::string&>());
   } else if (j.contains("o") && shelf != nullptr) {
     const auto base = shelf->findHistory(j.at("o").get<std::uint64_t>());
-    if (base) history = base->append(j.at("a").get_ref<const std::string&>(), floor, id);
+    if (!base) throw NotOnShelf("a history that can't be made here");
+    history = base->append(j.at("a").get_ref<const std::string&>(), floor, id);
+  } else {
+    throw NotOnShelf("a history that isn't here");
   }
   if (!history || history->id() != id) throw std::out_of_range("a history that can't be made here");
   return history;
 }
 
-// As versions of this program up to 0.1.0 wrote it: the last orders, each [revision, SHA-1 in hex].
-// What the first of them built on isn't known.
+// As this program wrote it before it kept a history: the last 32 orders, each [revision, SHA-1 in
+// hex]. What the first of them built on isn't known.
 History::Ptr readRecent(const json& j) {
   constexpr std::size_t kDigits = 16;
   History::Ptr history;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -68,7 +69,11 @@
 // `spare`: a large text that the reader lacks is only named.
 nlohmann::json toJson(const Value& value, const Reader& reader = {}, const Shelf* shelf = nullptr,
                       bool spare = false);
-// Throws where the text or the history can't be made of what is on the shelf.
+// A message that is well formed, but rests on a text or a history that isn't on the shelf.
+struct NotOnShelf : std::out_of_range {
+  using std::out_of_range::out_of_range;
+};
+// Throws.
 Value valueFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 // Messages. One shape for all of them keeps the wire small and the runner simple.
