--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -36,8 +36,6 @@
   Climb(NodeId self, Value basis, Climber::Change change, std::uint64_t seed, Span round)
       : climber(std::move(self), std::move(basis), std::move(change), seed, round) {}
   Climber climber;
-  // What it said that it has: answers rest on these, however many texts come by until then.
-  std::vector<cairn::Signboard::Ptr> held;
   Told told;
   Bell::TimerId timer = 0;
 };
@@ -56,7 +54,7 @@
   }
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
-    shelf_.put(ledge_->value().config);
+    keepOn(shelf_, ledge_->value());
     // What it holds was probably chosen: find out as soon as the others can be asked.
     if (ledge_->value().sequence > 0) aheadSince_ = parts_.bell.now() - kRepairAfter;
     // Only the voters are taken from it for now: whether its value was chosen is not known yet.
@@ -79,7 +77,7 @@
   parts_.cellar->start();
 }
 
-Value Council::basis() const { return known_; }
+Value Council::basis() const { return ledge_ ? ledge_->basisOf(known_) : known_; }
 
 const std::string& Council::knownFor(std::uint64_t has) {
   if (knownTextOf_ != known_.sequence) {
@@ -89,13 +87,14 @@
   // Texts that this node doesn't have come to the same.
   const std::uint64_t base = has != 0 && shelf_.find(has) ? has : 0;
   auto& text = knownTexts_[base];
-  if (text.empty()) text = toJson(known_, base, &shelf_).dump();
+  if (text.empty()) text = toJson(known_, {base, 0, false}, &shelf_).dump();
   return text;
 }
 
 std::uint64_t Council::textId() const { return known_.config ? known_.config->id() : 0; }
 
 void Council::learn(const Value& value) {
+  if (value.stamp == known_.stamp && !known_.history) known_.history = value.history;
   if (value.sequence <= known_.sequence) return;
   if (known_.sequence == 0) {
     const auto since = parts_.bell.now() - startedAt_;
@@ -103,7 +102,7 @@
                std::to_string(since.count() / 1000) + " ms after the start");
   }
   known_ = value;
-  shelf_.put(known_.config);
+  keepOn(shelf_, known_);
   parts_.chosen(known_);
 }
 
@@ -129,7 +128,7 @@
   if (const auto text = ask.kind == Ask::Kind::fetch ? shelf_.find(ask.text) : nullptr) {
     out.reply.value.config = text;
   }
-  shelf_.put(ledge_->value().config);
+  keepOn(shelf_, ledge_->value());
   const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
     if (!ok) {
       dirty_ = true;
@@ -157,11 +156,7 @@
   auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_(),
                                        roundTime());
   climb->told = std::move(told);
-  climb->held.push_back(base.config);
-  if (ledge_) {
-    climb->climber.holds(ledge_->value().config);
-    climb->held.push_back(ledge_->value().config);
-  }
+  climb->climber.holds(ledge_ ? ledge_->value().config : nullptr, shelf_.newestHistory());
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
 
@@ -169,7 +164,7 @@
   for (const auto& send : sends) {
     const auto back = [this, climb, to = send.to, round = send.round](std::optional<Reply> reply) {
       if (!reply || climb->climber.result()) return;
-      shelf_.put(reply->value.config);
+      keepOn(shelf_, reply->value);
       carry(climb, climb->climber.reply(to, round, *reply, parts_.bell.now()));
     };
     if (send.to == parts_.settings.self) {
@@ -180,7 +175,7 @@
                      kVoterLimit + cairn::extraTime(send.ask.value),
                      [this, climb, back](std::optional<json> answer) {
                        if (!answer) return;
-                       for (const auto& text : climb->held) shelf_.put(text);
+                       climb->climber.putOn(shelf_);
                        try {
                          back(cairn::replyFrom(*answer, &shelf_));
                        } catch (const std::exception&) {
@@ -242,7 +237,7 @@
                        } catch (const std::exception&) {
                          return;
                        }
-                       shelf_.put(ledge_->value().config);
+                       keepOn(shelf_, ledge_->value());
                        parts_.log("promises read from the other voters, voting again");
                        dirty_ = true;  // saved with the first answer that rests on it
                      });
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -213,12 +213,11 @@
       }
       if (path == "/register") {
         const auto ask = cairn::askFrom(document, &council_->shelf());
-        const bool fetch = ask.kind == cairn::Ask::Kind::fetch;
         const bool spare = ask.kind == cairn::Ask::Kind::prepare;
-        const std::uint64_t has = fetch ? 0 : ask.text;
-        council_->ask(ask, [this, visit, has, spare, reply](std::optional<cairn::Reply> said) {
+        council_->ask(ask, [this, visit, reader = readerOf(ask), spare,
+                            reply](std::optional<cairn::Reply> said) {
           if (said) {
-            reply(toJson(*said, has, &council_->shelf(), spare).dump());
+            reply(toJson(*said, reader, &council_->shelf(), spare).dump());
           } else {
             visit->fail(ErrorKind::noMajority);
           }
@@ -226,6 +225,8 @@
         return;
       }
       visit->fail(ErrorKind::unknownCall);
+    } catch (const cairn::NotOnShelf&) {
+      visit->fail(ErrorKind::noMajority);  // it is sent whole the next time
     } catch (const std::exception& problem) {
       // As of another version of this program: one line now and then, not one a message.
       if (foreignAt_ == Instant() || bell_.now() - foreignAt_ > kForeignEvery) {
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -11,11 +11,13 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "errors.hpp"
 #include "units.hpp"
+#include "version/history.hpp"
 #include "version/signboard.hpp"
 
 namespace merlin::cairn {
@@ -34,11 +36,9 @@
   Signboard::Ptr config;       // JSON as the operator wrote it, null at first
   std::uint64_t absent = 0;    // names a text that was not sent along
   Revision configRevision;
-  struct Taken {
-    Revision revision;
-    std::string digest;  // of the operator's call, to know it again
-  };
-  std::vector<Taken> recent;
+  // Its last entry made `configRevision`. Null is the same as one whose floor is that: nothing is
+  // known of the orders before. So whoever leaves it out can only make answers unclear.
+  History::Ptr history;
   std::vector<NodeId> voters;
   std::vector<NodeId> before;  // the voters being left, until the change of voters is done
 
@@ -52,13 +52,28 @@
   return extraTime(value.config ? value.config->text().size() : 0);
 }
 
+// What the reader of a value is known to have (0: nothing): then only what differs is written.
+struct Reader {
+  std::uint64_t text = 0;
+  std::uint64_t history = 0;
+  bool wantsHistory = true;  // else it is left out
+};
+
+inline void keepOn(Shelf& shelf, const Value& value) {
+  shelf.put(value.config);
+  shelf.put(value.history);
+}
+
 nlohmann::json toJson(const Ballot& ballot);
 Ballot ballotFrom(const nlohmann::json& j);
-// `has` is the text that the reader is known to have (0: none): then only what differs is written.
 // `spare`: a large text that the reader lacks is only named.
-nlohmann::json toJson(const Value& value, std::uint64_t has = 0, const Shelf* shelf = nullptr,
+nlohmann::json toJson(const Value& value, const Reader& reader = {}, const Shelf* shelf = nullptr,
                       bool spare = false);
-// Throws where the text can't be made of what is on the shelf.
+// A message that is well formed, but rests on a text or a history that isn't on the shelf.
+struct NotOnShelf : std::out_of_range {
+  using std::out_of_range::out_of_range;
+};
+// Throws.
 Value valueFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
 // Messages. One shape for all of them keeps the wire small and the runner simple.
@@ -67,12 +82,15 @@
   Kind kind = Kind::prepare;
   NodeId from;
   Ballot ballot;
-  Value value;             // accept
-  Life life;               // rejoin: the asker's new life
-  std::string have;        // prepare: stamp of the value the asker holds already
-  std::uint64_t text = 0;  // prepare, rejoin: a text that the asker has; fetch: the one it
-                           // wants; accept (not sent): the reader's
+  Value value;                // accept
+  Life life;                  // rejoin: the asker's new life
+  std::string have;           // prepare: stamp of the value the asker holds already
+  std::uint64_t text = 0;     // prepare, rejoin: a text that the asker has; fetch: the one it
+                              // wants; accept (not sent): the reader's
+  std::uint64_t history = 0;  // prepare: the one the asker has; accept (not sent): the reader's
 };
+// How a reply to it is written.
+Reader readerOf(const Ask& ask);
 
 struct Reply {
   bool ok = false;
@@ -81,10 +99,11 @@
   Ballot promised;
   Ballot accepted;
   Value value;
-  bool copied = false;     // the value was taken over from others, not accepted here
-  bool same = false;       // the value is the one the asker holds: it is not sent again
-  std::uint64_t text = 0;  // which text this voter has
-  Life knows;              // rejoin: the newest life of the asker that is known here
+  bool copied = false;        // the value was taken over from others, not accepted here
+  bool same = false;          // the value is the one the asker holds: it is not sent again
+  std::uint64_t text = 0;     // which text this voter has
+  std::uint64_t history = 0;  // which history this voter has
+  Life knows;                 // rejoin: the newest life of the asker that is known here
   // What this voter knows of lives later than the first: replies of one round that contradict each
   // other on who lives don't count together (a crash-consistent quorum).
   std::map<NodeId, Life> lives;
@@ -92,8 +111,8 @@
 
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
 Ask askFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
-// `has`: the text that the asker said it has.
-nlohmann::json toJson(const Reply& reply, std::uint64_t has = 0, const Shelf* shelf = nullptr,
+// A refusal carries no value.
+nlohmann::json toJson(const Reply& reply, const Reader& reader = {}, const Shelf* shelf = nullptr,
                       bool spare = false);
 Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
@@ -127,6 +146,8 @@
   [[nodiscard]] std::optional<Ask> rejoinAsk() const;
   bool rejoinReply(const NodeId& from, const Reply& reply, const Value& known);
 
+  // A chosen value as a basis for a climb. News come without the history; the voter may have it.
+  [[nodiscard]] Value basisOf(Value known) const;
   [[nodiscard]] bool awake() const { return awake_; }
   [[nodiscard]] const Value& value() const { return value_; }
   [[nodiscard]] const Ballot& accepted() const { return accepted_; }
@@ -185,8 +206,13 @@
   [[nodiscard]] Instant wake() const { return std::min(roundEnds_, ends_); }
   // For diagnostics: everything that decides what it does next, but times and texts.
   [[nodiscard]] nlohmann::json state() const;
-  // A text at hand besides the basis', so that voters need not send it.
-  void holds(const Signboard::Ptr& text) { held_ = text; }
+  // A text and a history at hand besides the basis', so that voters need not send them.
+  void holds(const Signboard::Ptr& text, const History::Ptr& history) {
+    held_ = text;
+    heldHistory_ = history;
+  }
+  // What the voters were told is at hand must be there when their answers are read.
+  void putOn(Shelf& shelf) const;
 
  private:
   std::vector<Send> newRound(Instant now);
@@ -197,6 +223,10 @@
   // Notes whose lives are over; false where this reply comes from such a one.
   bool consistent(const NodeId& from, const Reply& reply);
   [[nodiscard]] bool everySame() const;
+  [[nodiscard]] const History::Ptr& ownHistory() const {
+    return basis_.history ? basis_.history : heldHistory_;
+  }
+  [[nodiscard]] std::uint64_t historyAt(const NodeId& voter) const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
   NodeId self_;
@@ -214,9 +244,12 @@
   bool waiting_ = false;
   bool fetching_ = false;
   Signboard::Ptr held_;
+  History::Ptr heldHistory_;
   NodeId bestFrom_;
   int refusals_ = 0;
   std::set<NodeId> asked_;
+  std::map<NodeId, std::uint64_t> histories_;  // which one a voter last said it has
+  bool assumed_ = false;
   std::map<NodeId, Reply> promises_;
   std::map<NodeId, Life> accepts_;
   std::map<NodeId, Life> lives_;  // the newest that any reply has told of
--- a/src/version/signboard.cpp
+++ b/src/version/signboard.cpp
@@ -22,6 +22,7 @@
 // A shelf keeps the last few: many small ones, for a storm of changes; of large ones as many as fit
 // here, and two in any case.
 constexpr std::size_t kMostKept = 64;
+constexpr std::size_t kHistoriesKept = 8;
 constexpr std::size_t kFewestKept = 2;
 constexpr std::size_t kBytesKept = 5U << 19U;
 constexpr int kLevel = 1;  // the least processor time
@@ -142,9 +143,27 @@
   return board->id() == id ? board : nullptr;
 }
 
+namespace {
+template <class Ptr>
+Ptr findIn(const std::deque<Ptr>& items, std::uint64_t id) {
+  const auto it =
+      std::find_if(items.begin(), items.end(), [id](const auto& item) { return item->id() == id; });
+  return it == items.end() ? nullptr : *it;
+}
+
+// The newest stands last. False where it is there already.
+template <class Ptr>
+bool putIn(std::deque<Ptr>& items, const Ptr& item) {
+  if (!item) return false;
+  const auto there = findIn(items, item->id());
+  if (there) std::erase(items, there);
+  items.push_back(there ? there : item);
+  return !there;
+}
+}  // namespace
+
 void Shelf::put(const Signboard::Ptr& board) {
-  if (!board || find(board->id())) return;
-  boards_.push_back(board);
+  if (!putIn(boards_, board)) return;
   bytes_ += board->text().size();
   while (boards_.size() > kMostKept || (bytes_ > kBytesKept && boards_.size() > kFewestKept)) {
     bytes_ -= boards_.front()->text().size();
@@ -152,10 +171,18 @@
   }
 }
 
-Signboard::Ptr Shelf::find(std::uint64_t id) const {
-  const auto it = std::find_if(boards_.begin(), boards_.end(),
-                               [id](const auto& board) { return board->id() == id; });
-  return it == boards_.end() ? nullptr : *it;
+void Shelf::put(const History::Ptr& history) {
+  if (putIn(histories_, history) && histories_.size() > kHistoriesKept) histories_.pop_front();
+}
+
+Signboard::Ptr Shelf::find(std::uint64_t id) const { return findIn(boards_, id); }
+History::Ptr Shelf::findHistory(std::uint64_t id) const { return findIn(histories_, id); }
+
+History::Ptr Shelf::newestHistory() const {
+  const auto newest =
+      std::max_element(histories_.begin(), histories_.end(),
+                       [](const auto& a, const auto& b) { return a->last() < b->last(); });
+  return newest == histories_.end() ? nullptr : *newest;
 }
 
 }  // namespace merlin::cairn
--- a/tests/hostile.cpp
+++ b/tests/hostile.cpp
@@ -438,7 +438,7 @@
         [&ids]() -> const std::vector<NodeId>& { return ids; }, *side.book,
         [&side]() -> const cairn::Value& { return side.value; },
         [&side](std::uint64_t has) -> const std::string& {
-          return side.text = toJson(side.value, has).dump();
+          return side.text = toJson(side.value, cairn::Reader{has, 0, false}).dump();
         },
         [](const json& j) { return cairn::valueFrom(j); }, [](const cairn::Value&) {}, [] {},
         i == 0, true, Span(0), std::chrono::milliseconds(30), Span(0)});
@@ -470,7 +470,7 @@
   value.stamp = "10.0.0.1/4";
   value.config = cairn::Signboard::of(filled(R"({"revision":1},)", 9000));
   value.configRevision = Revision{1};
-  value.recent = {{Revision{1}, "digest"}};
+  value.history = cairn::History(Revision{0}).with({Revision{1}, 77});
   value.voters = {NodeId("10.0.0.1"), NodeId("10.0.0.2"), NodeId("10.0.0.3")};
   shelf.put(cairn::Signboard::of(filled(R"({"revision":1},)", 8000)));
   cairn::Ledge ledge(NodeId("10.0.0.1"), Life{1}, true);
@@ -499,8 +499,12 @@
         }
       };
       tried([&] { (void)ledge.ask(cairn::askFrom(document, &shelf)); });
-      tried([&] { (void)toJson(cairn::replyFrom(document, &shelf), 0, &shelf, true).dump(); });
-      tried([&] { (void)toJson(cairn::valueFrom(document, &shelf), 0, &shelf).dump(); });
+      tried([&] {
+        (void)toJson(cairn::replyFrom(document, &shelf), cairn::Reader{}, &shelf, true).dump();
+      });
+      tried([&] {
+        (void)toJson(cairn::valueFrom(document, &shelf), cairn::Reader{}, &shelf).dump();
+      });
     }
   }
 }
--- a/tests/world_disk.cpp
+++ b/tests/world_disk.cpp
@@ -137,7 +137,6 @@
     ask.value.config = cairn::Signboard::of("{\"revision\":" + std::to_string(n) + ",\"x\":\"" +
                                             std::string(5000 + n % 97 * 100, 'x') + "\"}");
     ask.value.voters = {NodeId("n1"), NodeId("n2"), NodeId("n3")};
-    ask.lives[NodeId("n2")] = Life{9};
     require(ledge.ask(ask).reply.ok, "the record can't be made");
     const auto saved = ledge.save();
     return {saved.head, saved.text};
@@ -221,7 +220,7 @@
       mutate(forged.head);
       if (const auto again = hut::readSnapshot(hut::writeSnapshot(forged), problem)) {
         const auto saved =
-            cairn::Ledge::fenced({again->head, cairn::Signboard::of(again->text)}, Life{3});
+            cairn::Ledge::fenced({again->head, cairn::Signboard::of(again->text)}, 3);
         require(saved.has_value(), "what was read can't be put back");
         ++read;
       }
