--- a/tests/world_explore.cpp
+++ b/tests/world_explore.cpp
@@ -130,11 +130,12 @@
   std::string broken;
 
   [[nodiscard]] std::uint64_t hash() const {
-    std::uint64_t h = static_cast<std::uint64_t>(wipes * 64 + crashes * 8 + twice);
+    std::uint64_t h = 0;
     const auto mix = [&h](std::uint64_t more) {
       h = (h ^ more) * 0xff51afd7ed558ccdULL;
       h ^= h >> 32;
     };
+    for (const int used : {wipes, crashes, twice}) mix(static_cast<std::uint64_t>(used) + 1);
     for (const auto& n : nodes) mix(n->hash);
     for (const auto& p : proposers) mix(p->hash);
     mix(history->hash);
