Voters: a lost one is exchanged for its successor in one joint step

Cause: the duty added newcomers first and took dead voters out after ten silent seconds, so that right after a replacement six voters stood, one of them dead, and two more losses left three of six. The decision is a pure function now (nextVoters): a voter that is gone (silent for 2.5 s, or leaving) is exchanged for an awake newcomer; the set stays odd; a margin below f is mended by taking gone ones out, never below 2f + 1. The second value of a change follows at once, and any voter finishes one whose author died. A core told to stop votes on until it is exchanged, and until f + 1 others hold its news. Holders of a leaving are counted without those that leave, are silent or have a new life.

--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -21,7 +21,6 @@
 constexpr Span kRepairTurn = std::chrono::milliseconds(40);
 constexpr Span kRejoinEvery = std::chrono::milliseconds(250);
 constexpr Span kOwnClimb = std::chrono::milliseconds(900);
-constexpr std::size_t kFewestVoters = 3;  // and never below 2f + 1
 }  // namespace
 
 Span Council::roundTime() const {
@@ -135,6 +134,7 @@
   auto climb = std::make_shared<Climb>(parts_.settings.self, base, std::move(change), random_(),
                                        roundTime());
   climb->told = std::move(told);
+  ++climbing_;
   if (ledge_) climb->climber.holds(ledge_->value().config);
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
@@ -170,6 +170,7 @@
     parts_.bell.cancel(climb->timer);
     const auto told = std::move(climb->told);
     climb->told = nullptr;
+    --climbing_;
     const auto copy = *result;
     if (copy.known) learn(copy.chosen);
     told(copy);
@@ -189,6 +190,7 @@
     return;
   }
   repair();
+  finishVoters();
 }
 
 void Council::rejoin() {
@@ -216,6 +218,13 @@
   }
 }
 
+// Repairs go in the order of the voters, so that they don't take each other's turn.
+Span Council::turn() const {
+  const auto& voters = known_.voters;
+  const auto place = std::find(voters.begin(), voters.end(), parts_.settings.self) - voters.begin();
+  return place * std::max(kRepairTurn, roundTime() / 2);
+}
+
 // A value accepted here whose fate nobody has told: find out, and finish it.
 void Council::repair() {
   const Instant now = parts_.bell.now();
@@ -227,11 +236,7 @@
   if (repairing_ || now - *aheadSince_ < kRepairAfter) return;
   // Somebody else is at it: two at once only take each other's turn.
   if (rivalAt_ != Instant() && now - rivalAt_ < 2 * roundTime()) return;
-  // In the order of the voters, so that they don't take each other's turn.
-  const auto& voters = known_.voters;
-  const auto place = std::find(voters.begin(), voters.end(), parts_.settings.self) - voters.begin();
-  const Span turn = std::max(kRepairTurn, roundTime() / 2);
-  if (now - *aheadSince_ < kRepairAfter + place * turn) return;
+  if (now - *aheadSince_ < kRepairAfter + turn()) return;
   repairing_ = true;
   climb([](const Value&, Value&) { return Climber::Verdict{}; }, ownClimb(),
         [this](const Climber::Result&) {
@@ -240,46 +245,67 @@
         });
 }
 
-void Council::keepVoters(const std::set<NodeId>& live, const std::set<NodeId>& lost) {
+bool Council::busy() const {
+  if (climbing_ > 0 || !known_.before.empty()) return true;
+  return ledge_ && ledge_->awake() && ledge_->value().sequence > known_.sequence;
+}
+
+void Council::keepVoters(const cairn::VoterView& view) {
   if (changingVoters_ || known_.voters.empty()) return;
-  std::vector<NodeId> voters = known_.voters;
-  if (known_.before.empty()) {
-    // Both sets must agree to the step, so it may add any number.
-    std::vector<NodeId> newcomers;
-    for (const auto& node : live) {
-      if (!known_.isVoter(node)) newcomers.push_back(node);
-    }
-    const auto dead = std::find_if(voters.begin(), voters.end(),
-                                   [&](const NodeId& node) { return lost.contains(node); });
-    if (!newcomers.empty()) {
-      voters.insert(voters.end(), newcomers.begin(), newcomers.end());
-      std::sort(voters.begin(), voters.end());
-    } else if (dead != voters.end() &&
-               voters.size() > std::max(kFewestVoters, 2 * parts_.settings.tolerance + 1)) {
-      voters.erase(dead);
-    } else {
-      return;
+  if (!known_.before.empty()) {
+    changeVoters({});
+    return;
+  }
+  const auto next = cairn::nextVoters(view);
+  if (!next) return;
+  std::string text = "voters to be: " + std::to_string(next->size());
+  const auto tell = [&text](const char* what, const std::vector<NodeId>& from,
+                            const std::vector<NodeId>& without) {
+    for (const auto& node : from) {
+      if (std::find(without.begin(), without.end(), node) != without.end()) continue;
+      text += what + node.str();
     }
+  };
+  tell(", out ", view.voters, *next);
+  tell(", in ", *next, view.voters);
+  parts_.log(text);
+  changeVoters(*next);
+}
+
+// Whoever began a change of voters may be gone: its second value needs no decision, so any voter
+// may write it, in turn.
+void Council::finishVoters() {
+  if (known_.before.empty()) return;
+  const Instant now = parts_.bell.now();
+  if (halfEpoch_ != known_.epoch) {
+    halfEpoch_ = known_.epoch;
+    halfSince_ = now;
   }
+  if (!changingVoters_ && now - halfSince_ >= kRepairAfter + turn()) changeVoters({});
+}
+
+// One of the two values of a change: first the new voters with the old ones, where both must agree,
+// and then, with no voters named, the new ones alone.
+void Council::changeVoters(const std::vector<NodeId>& voters) {
   changingVoters_ = true;
   climb(
       [epoch = known_.epoch, voters](const Value& current, Value& next) {
         Climber::Verdict verdict;
-        if (current.epoch != epoch) return verdict;  // somebody else was faster
+        // Somebody else was faster, or there is nothing left to finish.
+        if (current.epoch != epoch || current.before.empty() == voters.empty()) return verdict;
         verdict.kind = Climber::Verdict::Kind::put;
         next.epoch = current.epoch + 1;
-        // Two steps: first both sets must agree, then the new one stands alone.
-        next.before = current.before.empty() ? current.voters : std::vector<NodeId>{};
-        if (current.before.empty()) next.voters = voters;
+        next.before = voters.empty() ? std::vector<NodeId>{} : current.voters;
+        if (!voters.empty()) next.voters = voters;
         return verdict;
       },
       ownClimb(),
       [this](const Climber::Result& result) {
         changingVoters_ = false;
-        if (result.ok && result.known) {
-          parts_.log("voters: " + std::to_string(result.chosen.voters.size()) + ", epoch " +
-                     std::to_string(result.chosen.epoch));
-        }
+        if (!result.ok || !result.known) return;
+        parts_.log("voters: " + std::to_string(result.chosen.voters.size()) + ", epoch " +
+                   std::to_string(result.chosen.epoch));
+        if (!known_.before.empty()) changeVoters({});
       });
 }
 
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -17,6 +17,7 @@
 #include "process/settings.hpp"
 #include "process/wire.hpp"
 #include "version/register.hpp"
+#include "version/voters.hpp"
 
 namespace merlin::hut {
 
@@ -40,7 +41,9 @@
   void learn(const cairn::Value& value);
   void tick();
   // Duty of the first live voter: brings the voters in line with the core machines that live.
-  void keepVoters(const std::set<NodeId>& live, const std::set<NodeId>& lost);
+  void keepVoters(const cairn::VoterView& view);
+  // Is there anything here that only this node can bring to its end?
+  [[nodiscard]] bool busy() const;
 
   [[nodiscard]] const cairn::Value& known() const { return known_; }
   // The same as JSON for a reader that has the text `has`; made once.
@@ -57,6 +60,9 @@
   void settle(const std::shared_ptr<Climb>& climb);
   void rejoin();
   void repair();
+  void finishVoters();
+  void changeVoters(const std::vector<NodeId>& voters);
+  [[nodiscard]] Span turn() const;
   cairn::Value basis() const;
   [[nodiscard]] Span roundTime() const;
   [[nodiscard]] Span ownClimb() const;
@@ -72,6 +78,9 @@
   bool dirty_ = false;  // the state in memory is ahead of the disk
   bool repairing_ = false;
   bool changingVoters_ = false;
+  int climbing_ = 0;
+  Instant halfSince_;  // a change of voters has been seen half done since
+  std::uint64_t halfEpoch_ = 0;
   std::optional<Instant> aheadSince_;
   Instant rejoinAt_;
 };
--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -32,6 +32,7 @@
 constexpr Span kReserved = std::chrono::seconds(2);
 constexpr Span kLongestWait = std::chrono::seconds(4);
 constexpr std::size_t kFewLives = 16;
+constexpr Span kHolderHeard = std::chrono::milliseconds(2500);  // the longest hang and a little
 constexpr Span kNoWait = std::chrono::milliseconds(5);
 }  // namespace
 
@@ -167,6 +168,7 @@
            (heard == heard_.end() || now - heard->second > kForgetPuller);
   });
   std::erase_if(answeredAt_, [&](const auto& entry) { return !told_.contains(entry.first); });
+  std::erase_if(toldIn_, [&](const auto& entry) { return !told_.contains(entry.first); });
   std::erase_if(pulledFromHere_,
                 [&](const auto& entry) { return now - entry.second.at > kForgetPuller; });
   for (auto* times : {&heard_, &currentAt_}) {
@@ -452,6 +454,8 @@
                    "}");
     return;
   }
+  const auto puller = parts_.guestbook.nodes().find(from);
+  if (puller != parts_.guestbook.nodes().end()) toldIn_[from] = puller->second.life;
   if (onTold) onTold();
   const auto answered = answeredAt_.find(from);
   if (answered != answeredAt_.end() && !hasOtherText(hanging))
@@ -543,12 +547,16 @@
   parts_.world.after(again - now, [this] { tellNews(); });
 }
 
+// Those that leave, are silent, or have a new life since they said so may hold it no more.
 std::size_t Roster::holders(const cairn::Dot& dot) const {
   std::size_t n = 0;
-  for (const auto& [node, vector] : told_) {
+  for (const auto& [node, told] : told_) {
     const auto facts = parts_.guestbook.nodes().find(node);
     if (facts == parts_.guestbook.nodes().end() || !facts->second.core) continue;
-    if (vector.of(dot.source) >= dot.count) ++n;
+    if (facts->second.leaving || facts->second.silent || !heardWithin(node, kHolderHeard)) continue;
+    const auto life = toldIn_.find(node);
+    if (life == toldIn_.end() || life->second != facts->second.life) continue;
+    if (told.of(dot.source) >= dot.count) ++n;
   }
   return n;
 }
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -73,7 +73,7 @@
   // How many neighbours are pulled from, and how many pull from here and wait now.
   [[nodiscard]] std::size_t pulling() const { return links_.size(); }
   [[nodiscard]] std::size_t pulledFrom() const { return hanging_.size(); }
-  // How many other core nodes are known to hold that word.
+  // How many other core nodes that stay are known to hold that word.
   [[nodiscard]] std::size_t holders(const cairn::Dot& dot) const;
   // Called whenever another node has told how far it has come.
   std::function<void()> onTold;
@@ -134,6 +134,7 @@
   std::map<NodeId, Hanging> hanging_;
   std::map<NodeId, Instant> answeredAt_;  // when news last went to each puller
   std::map<NodeId, cairn::Tally> told_;   // how far each puller has come, as it says
+  std::map<NodeId, Life> toldIn_;         // and in which life it said so
   std::vector<NodeId> peers_;
   std::uint64_t peersFor_ = 0;
   std::uint64_t chosenFor_ = 0;  // the change of nodes that the links were last chosen for
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -26,8 +26,8 @@
 constexpr Span kStillComing = std::chrono::milliseconds(2300);  // callers notice a stop by then
 constexpr Span kExitMargin = std::chrono::milliseconds(400);
 constexpr Span kCoreLive = std::chrono::milliseconds(4000);
-constexpr Span kCoreLost = std::chrono::seconds(10);
-constexpr Span kCoreSettled = std::chrono::seconds(1);
+constexpr Span kStoodStill = std::chrono::seconds(1);
+constexpr Span kHandOver = std::chrono::seconds(3);          // or half of the grace time
 constexpr Span kHoldLimit = std::chrono::milliseconds(800);  // a beat has a second
 constexpr Span kNodeSilent = std::chrono::milliseconds(4500);
 constexpr Span kCurrent = std::chrono::milliseconds(2700);  // the longest hang and a little
@@ -269,6 +269,8 @@
 
 void Warden::tick() {
   const Instant now = bell_.now();
+  if (now - tickedAt_ > kStoodStill) listeningSince_ = now;
+  tickedAt_ = now;
   const auto silent = fromSeconds(toSeconds(settings_.heartbeat) * kSilentBeats);
   if (guestbook_.expire(now, silent, kRememberGone)) {
     logOf("hut").information("a server beside this node is silent");
@@ -290,41 +292,51 @@
   bell_.after(kTick, [this] { tick(); });
 }
 
-// Keeping the voters falls to the first of them that lives, in the order of their names.
-void Warden::duties() {
-  if (stopping_) return;
+// The core machines and how they look from here.
+cairn::VoterView Warden::voterView() {
   const Instant now = bell_.now();
   const auto& known = council_->known();
-  std::set<NodeId> live;
-  std::set<NodeId> lost;
-  bool arriving = false;  // more are about to be live: they are added together
-  for (const auto& node : guestbook_.cores()) {
-    const auto& facts = guestbook_.nodes().at(node);
+  cairn::VoterView view{known.voters, {}, settings_.tolerance};
+  std::set<NodeId> machines = guestbook_.cores();
+  machines.insert(known.voters.begin(), known.voters.end());
+  std::erase_if(coreSeen_, [&](const auto& entry) { return !machines.contains(entry.first); });
+  for (const auto& node : machines) {
+    cairn::CoreView machine;
+    machine.id = node;
     if (node == settings_.self) {
-      live.insert(node);
-      continue;
-    }
-    if (!coreSeen_.contains(node)) coreSeen_[node] = now;
-    if (!roster_->heardWithin(node, kCoreLive) || facts.leaving) continue;
-    if (now - coreSeen_[node] > kCoreSettled) {
-      live.insert(node);
-    } else if (!known.isVoter(node)) {
-      arriving = true;
+      machine.known = now - startedAt_;
+      machine.heard = true;
+      machine.awake = council_->awake();
+      machine.leaving = stopping_.has_value();
+    } else {
+      const Instant seen = coreSeen_.try_emplace(node, now).first->second;
+      machine.known = now - seen;
+      machine.silent = now - std::max({roster_->lastHeard(node), seen, listeningSince_});
+      machine.heard = roster_->heardWithin(node, cairn::kVoterGone);
+      const auto facts = guestbook_.nodes().find(node);
+      if (facts != guestbook_.nodes().end()) {
+        machine.awake = facts->second.awake;
+        machine.leaving = facts->second.leaving;
+      }
     }
+    view.machines.push_back(std::move(machine));
   }
-  for (const auto& voter : known.voters) {
-    if (voter == settings_.self) continue;
-    if (!coreSeen_.contains(voter)) coreSeen_[voter] = now;
-    if (now - std::max(roster_->lastHeard(voter), coreSeen_[voter]) > kCoreLost) lost.insert(voter);
-  }
-  for (const auto& voter : known.voters) {
-    if (voter == settings_.self) break;
-    if (live.contains(voter)) return;  // an earlier one lives: its duty
+  return view;
+}
+
+void Warden::duties() {
+  if (council_->awake() != guestbook_.self().awake) {
+    guestbook_.sayAwake(council_->awake());
+    roster_->news();
   }
+  if (stopping_ || !council_->awake()) return;
+  const auto view = voterView();
+  if (!cairn::holdsDuty(view, settings_.self)) return;
   // One that isn't a voter steps in only where it has listened for long enough to know them dead.
-  if (!known.isVoter(settings_.self) && now - startedAt_ < 2 * kCoreLive) return;
-  if (!council_->awake() || (arriving && known.before.empty())) return;
-  council_->keepVoters(live, lost);
+  if (!council_->known().isVoter(settings_.self) && bell_.now() - startedAt_ < 2 * kCoreLive) {
+    return;
+  }
+  council_->keepVoters(view);
 }
 
 bool Warden::liveCore(const NodeId& node) const {
@@ -349,7 +361,8 @@
   if (waits_.empty()) return;
   const auto& known = council_->known();
   const std::size_t others = known.voters.empty() ? 0 : known.voters.size() - 1;
-  const std::size_t wanted = std::min(settings_.tolerance, others);
+  // One that is leaving doesn't count itself.
+  const std::size_t wanted = std::min(settings_.tolerance + (stopping_ ? 1 : 0), others);
   std::vector<Wait> over;
   std::vector<bool> good;
   std::erase_if(waits_, [&](Wait& wait) {
@@ -467,10 +480,13 @@
                      {"core", facts.core},
                      {"leaving", facts.leaving},
                      {"silent", facts.silent},
+                     {"awake", facts.awake},
                      {"heard", node == settings_.self || roster_->heardWithin(node, kCoreLive)}});
   }
   json voters = json::array();
   for (const auto& voter : council_->known().voters) voters.push_back(voter.str());
+  json before = json::array();
+  for (const auto& voter : council_->known().before) before.push_back(voter.str());
   json out = {{"node", settings_.nodeName},
               {"version", MERLIN_VERSION},
               {"ready", ready()},
@@ -478,12 +494,14 @@
               {"in_force", chart_ ? chart_->revision().value : 0},
               {"epoch", council_->known().epoch},
               {"voters", std::move(voters)},
+              {"voters_before", std::move(before)},
               {"votes", council_->voter() && council_->awake()},
               {"disk_trouble", council_->diskTrouble()},
               {"news_age_ms", roster_->newsAge().count() / 1000},
               {"control", controlCounts()},
               {"nodes", std::move(nodes)},
               {"servers", std::move(servers)}};
+  if (core_) out["margin"] = cairn::marginOf(voterView());
   if (egress_) {
     const auto& c = egress_->counts();
     out["egress"] = {{"requests", c.requests},
@@ -522,6 +540,24 @@
   }
 }
 
+// A core machine that is told to stop votes on until the voters no longer need it, or can't do
+// without it: where nobody can take its place it needn't wait. Nor does it end as the only one that
+// holds its news, or with a change under way.
+bool Warden::handedOver() {
+  if (!core_ || bell_.now() - *stopping_ > std::min(kHandOver, settings_.grace / 2)) return true;
+  if (council_->busy()) return false;
+  const auto view = voterView();
+  if (council_->awake() && council_->known().isVoter(settings_.self)) {
+    const auto next = cairn::nextVoters(view);
+    if (next && std::find(next->begin(), next->end(), settings_.self) == next->end()) return false;
+  }
+  const auto others = std::count_if(view.machines.begin(), view.machines.end(), [&](const auto& m) {
+    return m.id != settings_.self && m.heard && !m.gone();
+  });
+  const auto wanted = std::min(settings_.tolerance + 1, static_cast<std::size_t>(others));
+  return roster_->holders(guestbook_.ownDot()) >= wanted;
+}
+
 void Warden::drainOut() {
   const Span since = bell_.now() - *stopping_;
   const int busy = (egress_ ? egress_->inFlight() : 0) + (ingress_ ? ingress_->running() : 0);
@@ -529,7 +565,7 @@
   if (egress_ && !still) egress_->refuseAll(true);
   if (ingress_ && !still) ingress_->refuseAll();
   const Span most = std::max(Span(0), settings_.grace - kExitMargin);
-  if ((busy == 0 && !still && since > kTick) || since > most) {
+  if ((busy == 0 && !still && since > kTick && handedOver()) || since > most) {
     roster_->stop();
     logOf("hut").information("stopped");
     bell_.after(kTick, [this] { bell_.stop(); });
--- a/src/process/warden.hpp
+++ b/src/process/warden.hpp
@@ -37,6 +37,8 @@
   void openDoors();
   void tick();
   void duties();
+  [[nodiscard]] cairn::VoterView voterView();
+  [[nodiscard]] bool handedOver();
   void chosen(const cairn::Value& value);
   void whenHeld(const InstanceId& id, std::function<void(bool)> done);
   void checkHeld();
@@ -75,6 +77,8 @@
   cairn::Chart::Ptr chart_;
   std::optional<Instant> stopping_;
   std::map<NodeId, Instant> coreSeen_;
+  Instant tickedAt_;
+  Instant listeningSince_;  // before that this process stood still and heard nobody
   struct Wait {
     InstanceId id;
     std::function<void(bool)> done;
--- a/src/version/guestbook.cpp
+++ b/src/version/guestbook.cpp
@@ -51,7 +51,7 @@
 std::size_t rangeOf(const std::string& key) { return mixHash(key) % Guestbook::kRanges; }
 
 json nodeJson(const NodeFacts& f, const Dot& dot) {
-  const int flags = (f.core ? 1 : 0) + (f.leaving ? 2 : 0) + (f.silent ? 4 : 0);
+  const int flags = (f.core ? 1 : 0) + (f.leaving ? 2 : 0) + (f.silent ? 4 : 0) + (f.awake ? 8 : 0);
   return json::array({"n", f.id.str(), f.zone.str(), flags, f.incarnation, f.life.value,
                       dot.source.str(), dot.count});
 }
@@ -439,6 +439,14 @@
   putNode(facts, newDot());
 }
 
+void Guestbook::sayAwake(bool awake) {
+  auto facts = self();
+  if (facts.awake == awake) return;
+  facts.awake = awake;
+  ++facts.incarnation;
+  putNode(facts, newDot());
+}
+
 bool Guestbook::nodeSilent(const NodeId& id) {
   const auto it = facts_.find(id);
   if (it == facts_.end() || it->second.silent || it->second.leaving || id == self_) return false;
@@ -537,6 +545,7 @@
   f.core = (flags & 1) != 0;
   f.leaving = (flags & 2) != 0;
   f.silent = (flags & 4) != 0;
+  f.awake = (flags & 8) != 0;
   f.incarnation = j.at(4).get<std::uint64_t>();
   f.life = Life{j.at(5).get<std::uint64_t>()};
   const Dot dot = dotFrom(j, 6);
--- a/src/version/guestbook.hpp
+++ b/src/version/guestbook.hpp
@@ -47,6 +47,7 @@
   bool silent = false;            // nobody hears it any more; it says so itself when that's wrong
   std::uint64_t incarnation = 0;  // orders its words; only the node itself raises it
   Life life;
+  bool awake = false;  // a core that has read what a voter must hold
 };
 
 // One life of one node as a source of words.
@@ -142,6 +143,7 @@
   // Servers whose keeper is silent or has left for so long that their beats must have stopped.
   bool orphans(Instant now, Span silent, const std::function<bool(const InstanceId&)>& mine);
   void leave();
+  void sayAwake(bool awake);
   bool nodeSilent(const NodeId& id);
 
   // Is there any word here that `have` doesn't cover, and which?
@@ -176,6 +178,8 @@
   [[nodiscard]] std::vector<Server> usable(const ServiceName& service) const;
   [[nodiscard]] std::uint64_t changes(const ServiceName& service) const;
   [[nodiscard]] std::optional<Dot> dotOf(const InstanceId& id) const;
+  // Of this node's last word on itself: whoever has it has all that this node said before.
+  [[nodiscard]] Dot ownDot() const { return nodeDots_.at(self_); }
 
  private:
   struct Item {
