Register: a life is learned from its own telling, and what is kept of lives is bounded

A voter that had been told a machine's new life took an accept that named an older one for newer where it had never heard of that one: the check let through what it is there to stop. Now a told life is the only one; a woken machine tells it to every voter. Kept: 16 lives a machine, 64 machines besides the voters. A refusal that promises nothing higher doesn't end a round.

--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -12,6 +12,8 @@
 constexpr int kBackOffSteps = 4;
 constexpr Span kRoundMost = std::chrono::seconds(4);
 constexpr Span kFetchTime = std::chrono::seconds(2);
+constexpr std::size_t kLivesKept = 16;  // of one machine
+constexpr std::size_t kNodesKept = 64;
 
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
@@ -127,6 +129,7 @@
     out["l"] = std::move(lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
+    if (!ask.have.empty()) out["h"] = ask.have;
   } else if (ask.kind == Ask::Kind::fetch) {
     out["x"] = ask.text;
   } else if (!ask.have.empty()) {
@@ -150,6 +153,7 @@
     }
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
+    ask.have = j.value("h", "");
   } else {
     ask.have = j.value("h", "");
     ask.text = j.value("x", std::uint64_t{0});
@@ -220,9 +224,9 @@
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
     for (const auto& [node, list] : saved.at("lives").items()) {
-      for (const auto& life : list) {
-        ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
-      }
+      auto& lives = ledge.lives_[NodeId(node)];
+      for (const auto& life : list) lives.push_back(Life{life.get<std::uint64_t>()});
+      if (lives.empty()) ledge.lives_.erase(NodeId(node));
     }
     return ledge;
   } catch (const std::exception&) {
@@ -235,13 +239,31 @@
           accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
 }
 
-// False where the life named is over.
-bool Ledge::learnLife(const NodeId& node, Life life) {
+// Lives are learned from their own telling only. What is kept is bounded: an older telling can be
+// taken for a new one only if it was on its way through kLivesKept further losses of that disk, and
+// of machines that vote no more none matters, as an accept that counts their promises names an
+// older epoch.
+Ledge::Told Ledge::tellLife(const NodeId& node, Life life) {
   auto& list = lives_[node];
-  if (!list.empty() && list.back() == life) return true;
-  if (std::find(list.begin(), list.end(), life) != list.end()) return false;
+  if (!list.empty() && list.back() == life) return Told::known;
+  if (std::find(list.begin(), list.end(), life) != list.end()) return Told::over;
   list.push_back(life);
-  return true;
+  if (list.size() > kLivesKept) list.erase(list.begin());
+  if (lives_.size() > kNodesKept) {
+    std::erase_if(lives_, [&](const auto& entry) {
+      const auto& before = value_.before;
+      return entry.first != node && !value_.isVoter(entry.first) &&
+             std::find(before.begin(), before.end(), entry.first) == before.end();
+    });
+  }
+  return Told::fresh;
+}
+
+// A machine that has told of its life here has no other: one that was never told of is older.
+bool Ledge::isOver(const NodeId& node, Life life) const {
+  if (node == self_) return life != life_;
+  const auto it = lives_.find(node);
+  return it != lives_.end() && it->second.back() != life;
 }
 
 Ledge::Out Ledge::ask(const Ask& ask) {
@@ -254,21 +276,18 @@
     case Ask::Kind::accept: {
       if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
       for (const auto& [node, life] : ask.lives) {
-        if (node == self_ && life != life_) return {answer(false), false};
-        const auto it = lives_.find(node);
-        if (it == lives_.end() || it->second.empty() || it->second.back() == life) continue;
-        const auto& list = it->second;
-        if (std::find(list.begin(), list.end(), life) != list.end()) return {answer(false), false};
+        if (isOver(node, life)) return {answer(false), false};
       }
-      for (const auto& [node, life] : ask.lives) learnLife(node, life);
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
       return {answer(true, true), true};  // the asker wrote it
     }
-    case Ask::Kind::rejoin:
-      if (!learnLife(ask.from, ask.life)) return {answer(false), false};
-      return {answer(true), true};
+    case Ask::Kind::rejoin: {
+      const auto told = tellLife(ask.from, ask.life);
+      if (told == Told::over) return {answer(false), false};
+      return {answer(true, !ask.have.empty()), told == Told::fresh};
+    }
     case Ask::Kind::fetch:
       return {answer(true), false};
   }
@@ -277,10 +296,17 @@
 
 std::optional<Ask> Ledge::rejoinAsk() const {
   if (awake_) return std::nullopt;
+  Ask ask = lifeAsk();
+  ask.have.clear();
+  return ask;
+}
+
+Ask Ledge::lifeAsk() const {
   Ask ask;
   ask.kind = Ask::Kind::rejoin;
   ask.from = self_;
   ask.life = life_;
+  ask.have = "life";
   return ask;
 }
 
@@ -394,7 +420,11 @@
   highest_ = std::max(highest_, reply.promised.number);
   if (result_ || round != round_ || waiting_) return {};
   if (reply.asleep) return {};
-  if (!reply.ok) return backOff(now);
+  if (!reply.ok) {
+    // One that has promised nothing higher minds the lives or the epoch: the others may do.
+    if (accepting_ && reply.promised <= ballot_) return {};
+    return backOff(now);
+  }
   if (accepting_) {
     accepts_.insert(from);
     if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -69,8 +69,9 @@
   Ballot ballot;
   Value value;                   // accept
   std::map<NodeId, Life> lives;  // accept: the lives that promised
-  Life life;                     // rejoin: the asker's new life
-  std::string have;              // prepare: stamp of the value the asker holds already
+  Life life;                     // rejoin: the asker's life
+  std::string have;              // prepare: stamp of the value the asker holds already;
+                                 // rejoin: not empty where only the life is told
   std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
                                  // accept (not sent): the reader's
 };
@@ -114,6 +115,8 @@
 
   // A voter that is asleep: whom to ask, and what came back. True once it is awake (then save).
   [[nodiscard]] std::optional<Ask> rejoinAsk() const;
+  // One that is awake tells its life to those that it has not read.
+  [[nodiscard]] Ask lifeAsk() const;
   bool rejoinReply(const NodeId& from, const Reply& reply, const Value& known);
 
   [[nodiscard]] bool awake() const { return awake_; }
@@ -123,7 +126,9 @@
 
  private:
   [[nodiscard]] Reply answer(bool ok, bool same = false) const;
-  bool learnLife(const NodeId& node, Life life);
+  enum class Told : std::uint8_t { fresh, known, over };
+  Told tellLife(const NodeId& node, Life life);
+  [[nodiscard]] bool isOver(const NodeId& node, Life life) const;
 
   NodeId self_;
   Life life_;
@@ -131,7 +136,7 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
-  std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
+  std::map<NodeId, std::vector<Life>> lives_;  // as told by rejoin, the last one is the living one
   std::map<NodeId, Reply> rejoin_;
 };
 
