--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -200,12 +200,11 @@
   const Instant now = parts_.bell.now();
   if (now < rejoinAt_) return;
   rejoinAt_ = now + kRejoinEvery;
-  const auto question = ledge_->rejoinAsk();
   std::set<NodeId> others(known_.voters.begin(), known_.voters.end());
   others.insert(known_.before.begin(), known_.before.end());
   others.erase(parts_.settings.self);
   for (const auto& other : others) {
-    parts_.wire.post(other, "/register", toJson(*question), kRejoinLimit,
+    parts_.wire.post(other, "/register", toJson(*ledge_->rejoinAsk(other)), kRejoinLimit,
                      [this, other](std::optional<json> answer) {
                        if (!answer || ledge_->awake()) return;
                        try {
@@ -229,9 +228,17 @@
   for (const auto* voters : {&known_.voters, &known_.before}) {
     for (const auto& voter : *voters) {
       if (voter == parts_.settings.self || lifeTold_.contains(voter)) continue;
-      parts_.wire.post(voter, "/register", toJson(ledge_->lifeAsk()), kRejoinLimit,
+      parts_.wire.post(voter, "/register", toJson(ledge_->lifeAsk(voter)), kRejoinLimit,
                        [this, voter](const std::optional<json>& answer) {
-                         if (answer && answer->value("o", false)) lifeTold_.insert(voter);
+                         if (!answer) return;
+                         try {
+                           const auto reply = cairn::replyFrom(*answer, &shelf_);
+                           if (reply.ok) lifeTold_.insert(voter);
+                           ledge_->rejoinReply(voter, reply, known_);
+                           if (!reply.ok && !reply.asleep) tellAt_ = parts_.bell.now();
+                         } catch (const std::exception&) {
+                           // A foreign answer counts as none.
+                         }
                        });
     }
   }
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -12,7 +12,6 @@
 constexpr int kBackOffSteps = 4;
 constexpr Span kRoundMost = std::chrono::seconds(4);
 constexpr Span kFetchTime = std::chrono::seconds(2);
-constexpr std::size_t kLivesKept = 16;  // of one machine
 constexpr std::size_t kNodesKept = 64;
 
 json names(const std::vector<NodeId>& nodes) {
@@ -130,6 +129,7 @@
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
     if (!ask.have.empty()) out["h"] = ask.have;
+    if (ask.after) out["a"] = ask.after->value;
   } else if (ask.kind == Ask::Kind::fetch) {
     out["x"] = ask.text;
   } else if (!ask.have.empty()) {
@@ -154,6 +154,7 @@
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
     ask.have = j.value("h", "");
+    if (j.contains("a")) ask.after = Life{j.at("a").get<std::uint64_t>()};
   } else {
     ask.have = j.value("h", "");
     ask.text = j.value("x", std::uint64_t{0});
@@ -165,6 +166,7 @@
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
   if (reply.text != 0) out["x"] = reply.text;
+  if (reply.yours.value != 0) out["y"] = reply.yours.value;
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
@@ -182,6 +184,7 @@
   reply.asleep = j.value("z", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
+  reply.yours = Life{j.value("y", std::uint64_t{0})};
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
@@ -198,11 +201,7 @@
 
 Ledge::Saved Ledge::save() const {
   json lives = json::object();
-  for (const auto& [node, list] : lives_) {
-    json values = json::array();
-    for (const auto& life : list) values.push_back(life.value);
-    lives[node.str()] = std::move(values);
-  }
+  for (const auto& [node, life] : lives_) lives[node.str()] = json::array({life.value});
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
   const json head = {{"life", life_.value},
                      {"awake", awake_},
@@ -224,9 +223,8 @@
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
     for (const auto& [node, list] : saved.at("lives").items()) {
-      auto& lives = ledge.lives_[NodeId(node)];
-      for (const auto& life : list) lives.push_back(Life{life.get<std::uint64_t>()});
-      if (lives.empty()) ledge.lives_.erase(NodeId(node));
+      // A list in older files, the living one last.
+      if (!list.empty()) ledge.lives_[NodeId(node)] = Life{list.back().get<std::uint64_t>()};
     }
     return ledge;
   } catch (const std::exception&) {
@@ -236,34 +234,34 @@
 
 Reply Ledge::answer(bool ok, bool same) const {
   return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
-}
-
-// Lives are learned from their own telling only. What is kept is bounded: an older telling can be
-// taken for a new one only if it was on its way through kLivesKept further losses of that disk, and
-// of machines that vote no more none matters, as an accept that counts their promises names an
-// older epoch.
-Ledge::Told Ledge::tellLife(const NodeId& node, Life life) {
-  auto& list = lives_[node];
-  if (!list.empty() && list.back() == life) return Told::known;
-  if (std::find(list.begin(), list.end(), life) != list.end()) return Told::over;
-  list.push_back(life);
-  if (list.size() > kLivesKept) list.erase(list.begin());
-  if (lives_.size() > kNodesKept) {
+          accepted_, value_,  same,  value_.config ? value_.config->id() : 0,
+          {}};
+}
+
+// Compare and set: a life follows the one that it names, and none can name one that came later. So
+// tellings may be late or in any order. What is kept is one life a machine; of those that vote no
+// more few are kept, as an accept that counts their promises names an older epoch.
+bool Ledge::tellLife(const NodeId& node, Life life, std::optional<Life> after) {
+  const auto [it, first] = lives_.try_emplace(node, life);
+  if (!first && it->second != life) {
+    if (after && *after != it->second) return false;
+    it->second = life;
+  }
+  if (first && lives_.size() > kNodesKept) {
     std::erase_if(lives_, [&](const auto& entry) {
       const auto& before = value_.before;
       return entry.first != node && !value_.isVoter(entry.first) &&
              std::find(before.begin(), before.end(), entry.first) == before.end();
     });
   }
-  return Told::fresh;
+  return true;
 }
 
 // A machine that has told of its life here has no other: one that was never told of is older.
 bool Ledge::isOver(const NodeId& node, Life life) const {
   if (node == self_) return life != life_;
   const auto it = lives_.find(node);
-  return it != lives_.end() && it->second.back() != life;
+  return it != lives_.end() && it->second != life;
 }
 
 Ledge::Out Ledge::ask(const Ask& ask) {
@@ -284,9 +282,12 @@
       return {answer(true, true), true};  // the asker wrote it
     }
     case Ask::Kind::rejoin: {
-      const auto told = tellLife(ask.from, ask.life);
-      if (told == Told::over) return {answer(false), false};
-      return {answer(true, !ask.have.empty()), told == Told::fresh};
+      const auto known = lives_.find(ask.from);
+      const bool same = known != lives_.end() && known->second == ask.life;
+      if (tellLife(ask.from, ask.life, ask.after)) return {answer(true, !ask.have.empty()), !same};
+      Out refused{answer(false, true), false};
+      refused.reply.yours = lives_.at(ask.from);
+      return refused;
     }
     case Ask::Kind::fetch:
       return {answer(true), false};
@@ -294,23 +295,27 @@
   return {answer(false), false};
 }
 
-std::optional<Ask> Ledge::rejoinAsk() const {
+std::optional<Ask> Ledge::rejoinAsk(const NodeId& to) const {
   if (awake_) return std::nullopt;
-  Ask ask = lifeAsk();
+  Ask ask = lifeAsk(to);
   ask.have.clear();
   return ask;
 }
 
-Ask Ledge::lifeAsk() const {
+Ask Ledge::lifeAsk(const NodeId& to) const {
   Ask ask;
   ask.kind = Ask::Kind::rejoin;
   ask.from = self_;
   ask.life = life_;
   ask.have = "life";
+  const auto it = after_.find(to);
+  ask.after = it == after_.end() ? Life{} : it->second;
   return ask;
 }
 
 bool Ledge::rejoinReply(const NodeId& from, const Reply& reply, const Value& known) {
+  // Another life is on record there: this one comes after it.
+  if (!reply.ok && reply.yours.value != 0) after_[from] = reply.yours;
   if (awake_ || !reply.ok || reply.asleep) return false;
   rejoin_[from] = reply;
   // The newest voters that anyone has told of decide whose answers count.
