Register: only voters that promised are counted as having accepted

Cause: an accept goes to all voters but names the lives of those that promised. One that hadn't could accept, lose its disk, read the others before the accept had come there, and vote again with nothing of it; those asked later found no life of it named and accepted too.

--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -431,6 +431,10 @@
     return backOff(now);
   }
   if (accepting_) {
+    // Only where the accept named the life that accepted: who learns that this life is over then
+    // refuses. Whoever promised too late takes the value all the same, but isn't counted.
+    const auto promise = promises_.find(from);
+    if (promise == promises_.end() || promise->second.life != reply.life) return {};
     accepts_.insert(from);
     if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
     return {};
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -22,11 +22,11 @@
 
 struct Machine {
   NodeId id;
-  std::optional<Ledge> ledge;       // empty: the process is down
-  std::optional<Ledge::Saved> disk; // what a power cut leaves
+  std::optional<Ledge> ledge;        // empty: the process is down
+  std::optional<Ledge::Saved> disk;  // what a power cut leaves
   bool wiped = false;
-  int life = 0;         // of the process; answers to an older one are lost
-  double hungUntil = 0; // disk
+  int life = 0;          // of the process; answers to an older one are lost
+  double hungUntil = 0;  // disk
   bool full = false;
   double frozenUntil = 0;
   Value known;
@@ -41,14 +41,14 @@
   };
   std::map<NodeId, Heard> heard;
   double tickedAt = 0;
-  double listening = 0; // it stood still before that
+  double listening = 0;  // it stood still before that
   std::uint64_t saves = 0;
   std::uint64_t savedTo = 0;
-  double leaving = -1; // told to stop then
-  double downFor = 0;  // and that long it will be away
+  double leaving = -1;  // told to stop then
+  double downFor = 0;   // and that long it will be away
   bool changing = false;
-  double half = -1;          // a change of voters has been seen half done since
-  std::set<NodeId> lifeTold; // voters that know its life
+  double half = -1;           // a change of voters has been seen half done since
+  std::set<NodeId> lifeTold;  // voters that know its life
   double tellAt = 0;
 };
 
@@ -57,17 +57,16 @@
   double ended = -1;
   bool read = false;
   std::int64_t base = 0;
-  std::int64_t revision = 0; // written or read
+  std::int64_t revision = 0;  // written or read
   std::string digest;
   enum class End { open, ok, refused, unclear } end = End::open;
   Value seen;
-  std::function<void()> done; // once it is known what is chosen
+  std::function<void()> done;  // once it is known what is chosen
 };
 
 class RegisterWorld {
-public:
-  RegisterWorld(const Scenario &scenario, std::uint64_t seed)
-      : s_(scenario), clock_(seed) {
+ public:
+  RegisterWorld(const Scenario& scenario, std::uint64_t seed) : s_(scenario), clock_(seed) {
     const int n = static_cast<int>(number(s_, "nodes", 5));
     // Those beyond `running` are machines that are started later.
     running_ = static_cast<int>(number(s_, "running", n));
@@ -75,75 +74,66 @@
     for (int i = 1; i <= n; ++i) {
       auto machine = std::make_unique<Machine>();
       machine->id = NodeId("n" + std::to_string(i));
-      if (i <= voters)
-        first_.push_back(machine->id);
+      if (i <= voters) first_.push_back(machine->id);
       machines_.push_back(std::move(machine));
     }
     tolerance_ = static_cast<std::size_t>(number(s_, "tolerance", 0));
-    for (auto &m : machines_) {
-      if (static_cast<int>(++started_) > running_)
-        continue;
+    for (auto& m : machines_) {
+      if (static_cast<int>(++started_) > running_) continue;
       m->known.voters = first_;
       m->ledge.emplace(m->id, Life{clock_.random() >> 1}, true);
       m->disk = m->ledge->save();
     }
   }
 
-  void play(std::map<std::string, double> &out) {
+  void play(std::map<std::string, double>& out) {
     const double length = number(s_, "length", 6000);
-    for (const auto *line : linesOf(s_, "at"))
-      schedule(*line);
-    for (const auto *line : linesOf(s_, "random")) {
+    for (const auto* line : linesOf(s_, "at")) schedule(*line);
+    for (const auto* line : linesOf(s_, "random")) {
       const int count = std::stoi(line->words.at(2));
       for (int i = 0; i < count; ++i) {
         clock_.after(clock_.uniform(0, length * 0.8), [this] { randomCall(); });
       }
     }
-    for (const auto *line : linesOf(s_, "troubles")) {
-      clock_.after(
-          2000, [this, left = std::stoi(line->words.at(1))] { trouble(left); });
+    for (const auto* line : linesOf(s_, "troubles")) {
+      clock_.after(2000, [this, left = std::stoi(line->words.at(1))] { trouble(left); });
     }
     tick();
-    if (duties())
-      beat();
+    if (duties()) beat();
     clock_.runUntil(length);
     // Everything heals, and a last read must show it all.
     healed_ = true;
-    for (auto &m : machines_) {
+    for (auto& m : machines_) {
       m->hungUntil = m->frozenUntil = 0;
       m->full = false;
-      if (!m->ledge && !m->wiped && m->disk)
-        boot(*m);
+      if (!m->ledge && !m->wiped && m->disk) boot(*m);
     }
     cuts_.clear();
     clock_.runUntil(length + 3000);
     const auto last = startRead(*machines_[pickLive()]);
     clock_.runUntil(length + 6000);
-    require(last->end == Call::End::ok,
-            "the register can't be read after everything has healed");
+    require(last->end == Call::End::ok, "the register can't be read after everything has healed");
     double broken = 0;
     try {
       check();
-    } catch (const Broken &) {
+    } catch (const Broken&) {
       // The check itself is under test: it must see what a broken register
       // does.
-      if (linesOf(s_, "fault").empty())
-        throw;
+      if (linesOf(s_, "fault").empty()) throw;
       broken = 1;
     }
     double acked = 0;
     double reads = 0;
     double refused = 0;
     double unclear = 0;
-    for (const auto &call : calls_) {
+    for (const auto& call : calls_) {
       acked += !call->read && call->end == Call::End::ok ? 1 : 0;
       reads += call->read && call->end == Call::End::ok ? 1 : 0;
       refused += call->end == Call::End::refused ? 1 : 0;
       unclear += call->end == Call::End::unclear ? 1 : 0;
     }
     double awake = 0;
-    for (const auto &m : machines_)
-      awake += m->ledge && m->ledge->awake() ? 1 : 0;
+    for (const auto& m : machines_) awake += m->ledge && m->ledge->awake() ? 1 : 0;
     out = {{"acked", acked},
            {"reads", reads},
            {"refused", refused},
@@ -155,22 +145,21 @@
            {"broken", broken}};
   }
 
-private:
-  Machine &machine(const std::string &name) {
-    for (auto &m : machines_) {
-      if (m->id.str() == name)
-        return *m;
+ private:
+  Machine& machine(const std::string& name) {
+    for (auto& m : machines_) {
+      if (m->id.str() == name) return *m;
     }
     throw Broken{"no machine " + name};
   }
 
   // at MS WHAT ...
-  void schedule(const Line &line) {
-    const auto &w = line.words;
+  void schedule(const Line& line) {
+    const auto& w = line.words;
     const double at = std::stod(w.at(1));
     clock_.after(at, [this, w] {
-      const auto &what = w.at(2);
-      if (what == "put") { // put NODE BASE REVISION [copy]
+      const auto& what = w.at(2);
+      if (what == "put") {  // put NODE BASE REVISION [copy]
         startPut(machine(w.at(3)), std::stoll(w.at(4)), std::stoll(w.at(5)),
                  w.size() > 6 ? w[6] : "");
       } else if (what == "read") {
@@ -180,7 +169,7 @@
       } else if (what == "hang") {
         machine(w.at(3)).hungUntil = clock_.ms() + std::stod(w.at(4));
       } else if (what == "full") {
-        auto &m = machine(w.at(3));
+        auto& m = machine(w.at(3));
         m.full = true;
         clock_.after(std::stod(w.at(4)), [&m] { m.full = false; });
       } else if (what == "freeze") {
@@ -189,20 +178,19 @@
         const NodeId id(w.at(3));
         cuts_.insert(id);
         clock_.after(std::stod(w.at(4)), [this, id] { cuts_.erase(id); });
-      } else if (what == "voters") { // voters NODE n1 n2 ...
+      } else if (what == "voters") {  // voters NODE n1 n2 ...
         std::vector<NodeId> set;
-        for (std::size_t i = 4; i < w.size(); ++i)
-          set.emplace_back(w[i]);
+        for (std::size_t i = 4; i < w.size(); ++i) set.emplace_back(w[i]);
         startVoters(machine(w.at(3)), set);
       } else if (what == "gone") {
-        auto &m = machine(w.at(3));
+        auto& m = machine(w.at(3));
         down(m, true, 1e9);
       } else if (what == "start") {
         boot(machine(w.at(3)));
-      } else if (what == "leave") { // leave NODE MS-AWAY, 0: for good
+      } else if (what == "leave") {  // leave NODE MS-AWAY, 0: for good
         leave(machine(w.at(3)), std::stod(w.at(4)));
-      } else if (what == "bear") { // bear COUNT MS: so many are frozen, and an
-                                   // order is taken
+      } else if (what == "bear") {  // bear COUNT MS: so many are frozen, and an
+                                    // order is taken
         bear(std::stoul(w.at(3)), std::stod(w.at(4)), "by hand");
       } else {
         throw Broken{"no such thing to do: " + what};
@@ -210,35 +198,31 @@
     });
   }
 
-  [[nodiscard]] bool fault(const std::string &name) const {
+  [[nodiscard]] bool fault(const std::string& name) const {
     const auto lines = linesOf(s_, "fault");
     return !lines.empty() && lines[0]->words.at(1) == name;
   }
 
-  void down(Machine &m, bool wipe, double forMs) {
+  void down(Machine& m, bool wipe, double forMs) {
     ++m.life;
     m.ledge.reset();
     m.wiped = m.wiped || wipe;
-    if (wipe)
-      m.disk.reset();
+    if (wipe) m.disk.reset();
     if (forMs < 1e8) {
       clock_.after(forMs, [this, &m] {
-        if (!m.ledge)
-          boot(m);
+        if (!m.ledge) boot(m);
       });
     }
   }
 
-  void boot(Machine &m) {
+  void boot(Machine& m) {
     ++m.life;
     m.known = Value{};
-    if (!duties())
-      m.known.voters = first_;
-    if (m.disk)
-      m.ledge = Ledge::restore(m.id, *m.disk);
+    if (!duties()) m.known.voters = first_;
+    if (m.disk) m.ledge = Ledge::restore(m.id, *m.disk);
     if (duties()) {
       if (m.ledge) {
-        const auto &value = m.ledge->value();
+        const auto& value = m.ledge->value();
         m.known.epoch = value.epoch;
         m.known.voters = value.epoch == 0 ? first_ : value.voters;
         m.known.before = value.before;
@@ -251,8 +235,7 @@
       m.tickedAt = m.listening = clock_.ms();
     }
     // A fault of its own: one that lost its disk votes as if nothing had been.
-    if (!m.ledge)
-      m.ledge.emplace(m.id, Life{clock_.random() >> 1}, fault("forgetful"));
+    if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, fault("forgetful"));
     m.shelf = cairn::Shelf();
     m.shelf.put(m.ledge->value().config);
     m.wiped = false;
@@ -260,16 +243,14 @@
 
   std::size_t pickLive() {
     for (int tries = 0; tries < 100; ++tries) {
-      const auto i =
-          static_cast<std::size_t>(clock_.random() % machines_.size());
-      if (machines_[i]->ledge)
-        return i;
+      const auto i = static_cast<std::size_t>(clock_.random() % machines_.size());
+      if (machines_[i]->ledge) return i;
     }
     return 0;
   }
 
   void randomCall() {
-    auto &m = *machines_[pickLive()];
+    auto& m = *machines_[pickLive()];
     if (clock_.chance(0.3)) {
       startRead(m);
       return;
@@ -278,117 +259,97 @@
     // something older.
     const std::int64_t base =
         clock_.chance(0.85) ? newest_ : std::max<std::int64_t>(0, newest_ - 2);
-    startPut(m, base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3),
-             "");
+    startPut(m, base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3), "");
   }
 
   // Large enough to be packed, sent as a delta, or only named.
-  std::string textOf(const std::string &digest) const {
+  std::string textOf(const std::string& digest) const {
     std::string out = "[{\"n\":\"" + digest + "\"}";
     const int items = static_cast<int>(number(s_, "items", 2));
-    for (int i = 0; i < items; ++i)
-      out += ",{\"r\":" + std::to_string(i * 7919) + "}";
+    for (int i = 0; i < items; ++i) out += ",{\"r\":" + std::to_string(i * 7919) + "}";
     return out + "]";
   }
 
-  std::shared_ptr<Call> startRead(Machine &m) {
+  std::shared_ptr<Call> startRead(Machine& m) {
     auto call = std::make_shared<Call>();
     call->read = true;
-    run(m, call, [](const Value &, Value &) { return Climber::Verdict{}; });
+    run(m, call, [](const Value&, Value&) { return Climber::Verdict{}; });
     return call;
   }
 
-  void startPut(Machine &m, std::int64_t base, std::int64_t revision,
-                const std::string &copyOf) {
+  void startPut(Machine& m, std::int64_t base, std::int64_t revision, const std::string& copyOf) {
     auto call = std::make_shared<Call>();
     call->base = base;
     call->revision = revision;
     call->digest = copyOf.empty() ? "d" + std::to_string(++digests_) : copyOf;
-    run(m, call,
-        [this, base, revision, digest = call->digest](const Value &current,
-                                                      Value &next) {
-          Climber::Verdict verdict;
-          for (const auto &taken : current.recent) {
-            if (taken.digest == digest)
-              return verdict;
-          }
-          if (current.configRevision.value != base) {
-            verdict.kind = Climber::Verdict::Kind::refuse;
-            return verdict;
-          }
-          verdict.kind = Climber::Verdict::Kind::put;
-          next.configRevision = Revision{revision};
-          next.config = cairn::Signboard::of(textOf(digest));
-          next.recent.push_back({Revision{revision}, digest});
-          return verdict;
-        });
+    run(m, call, [this, base, revision, digest = call->digest](const Value& current, Value& next) {
+      Climber::Verdict verdict;
+      for (const auto& taken : current.recent) {
+        if (taken.digest == digest) return verdict;
+      }
+      if (current.configRevision.value != base) {
+        verdict.kind = Climber::Verdict::Kind::refuse;
+        return verdict;
+      }
+      verdict.kind = Climber::Verdict::Kind::put;
+      next.configRevision = Revision{revision};
+      next.config = cairn::Signboard::of(textOf(digest));
+      next.recent.push_back({Revision{revision}, digest});
+      return verdict;
+    });
   }
 
-  void startVoters(Machine &m, const std::vector<NodeId> &set) {
+  void startVoters(Machine& m, const std::vector<NodeId>& set) {
     auto call = std::make_shared<Call>();
     call->read = true;
-    run(m, call, [set](const Value &current, Value &next) {
+    run(m, call, [set](const Value& current, Value& next) {
       Climber::Verdict verdict;
       // Said again when done already, or out of turn: nothing to do.
-      if (current.before.empty() == set.empty() || current.voters == set)
-        return verdict;
+      if (current.before.empty() == set.empty() || current.voters == set) return verdict;
       verdict.kind = Climber::Verdict::Kind::put;
       next.epoch = current.epoch + 1;
-      next.before =
-          current.before.empty() ? current.voters : std::vector<NodeId>{};
-      if (current.before.empty())
-        next.voters = set;
+      next.before = current.before.empty() ? current.voters : std::vector<NodeId>{};
+      if (current.before.empty()) next.voters = set;
       return verdict;
     });
   }
 
-  void run(Machine &m, std::shared_ptr<Call> call, Climber::Change change,
+  void run(Machine& m, std::shared_ptr<Call> call, Climber::Change change,
            std::function<void()> done = {}) {
-    if (!m.ledge)
-      return;
+    if (!m.ledge) return;
     call->done = std::move(done);
     call->began = clock_.ms();
     calls_.push_back(call);
-    auto climber = std::make_shared<Climber>(m.id, m.known, std::move(change),
-                                             clock_.random() >> 1);
-    carry(m, call, climber,
-          climber->start(clock_.now(), std::chrono::milliseconds(900)));
+    auto climber =
+        std::make_shared<Climber>(m.id, m.known, std::move(change), clock_.random() >> 1);
+    carry(m, call, climber, climber->start(clock_.now(), std::chrono::milliseconds(900)));
   }
 
-  void carry(Machine &m, const std::shared_ptr<Call> &call,
-             const std::shared_ptr<Climber> &climber,
-             const std::vector<Climber::Send> &sends) {
+  void carry(Machine& m, const std::shared_ptr<Call>& call, const std::shared_ptr<Climber>& climber,
+             const std::vector<Climber::Send>& sends) {
     const int life = m.life;
-    for (const auto &send : sends) {
-      deliver(m.id, send.to, [this, &m, call, climber, send, life] {
-        auto &voter = machine(send.to.str());
-        answer(voter, send.ask,
-               [this, &m, &voter, call, climber, send, life](Reply r) {
-                 const bool spare = send.ask.kind == Ask::Kind::prepare;
-                 const bool fetch = send.ask.kind == Ask::Kind::fetch;
-                 const auto text =
-                     toJson(r, fetch ? 0 : send.ask.text, &voter.shelf, spare)
-                         .dump();
-                 deliver(send.to, m.id,
-                         [this, &m, call, climber, send, life, text] {
-                           if (m.life != life || climber->result())
-                             return;
-                           // Messages cross the wire as text: what JSON drops
-                           // must not be missed.
-                           Reply reply;
-                           try {
-                             reply = cairn::replyFrom(
-                                 nlohmann::json::parse(text), &m.shelf);
-                           } catch (const std::exception &) {
-                             return; // the text that it rests on has gone from
-                                     // the shelf since
-                           }
-                           m.shelf.put(reply.value.config);
-                           carry(m, call, climber,
-                                 climber->reply(send.to, send.round, reply,
-                                                clock_.now()));
-                         });
-               });
+    for (const auto& send : sends) {
+      deliver(m.id, send.to, send.ask.kind, [this, &m, call, climber, send, life] {
+        auto& voter = machine(send.to.str());
+        answer(voter, send.ask, [this, &m, &voter, call, climber, send, life](Reply r) {
+          const bool spare = send.ask.kind == Ask::Kind::prepare;
+          const bool fetch = send.ask.kind == Ask::Kind::fetch;
+          const auto text = toJson(r, fetch ? 0 : send.ask.text, &voter.shelf, spare).dump();
+          deliver(send.to, m.id, [this, &m, call, climber, send, life, text] {
+            if (m.life != life || climber->result()) return;
+            // Messages cross the wire as text: what JSON drops
+            // must not be missed.
+            Reply reply;
+            try {
+              reply = cairn::replyFrom(nlohmann::json::parse(text), &m.shelf);
+            } catch (const std::exception&) {
+              return;  // the text that it rests on has gone from
+                       // the shelf since
+            }
+            m.shelf.put(reply.value.config);
+            carry(m, call, climber, climber->reply(send.to, send.round, reply, clock_.now()));
+          });
+        });
       });
     }
     if (climber->result()) {
@@ -397,15 +358,13 @@
     }
     const Instant wake = climber->wake();
     clock_.at(wake, [this, &m, call, climber, life] {
-      if (m.life != life || climber->result())
-        return;
+      if (m.life != life || climber->result()) return;
       carry(m, call, climber, climber->tick(clock_.now()));
     });
   }
 
-  void finish(Machine &m, Call &call, const Climber::Result &result) {
-    if (call.ended >= 0)
-      return;
+  void finish(Machine& m, Call& call, const Climber::Result& result) {
+    if (call.ended >= 0) return;
     call.ended = clock_.ms();
     if (!result.known) {
       call.end = Call::End::unclear;
@@ -413,49 +372,51 @@
     }
     call.seen = result.chosen;
     call.end = result.ok ? Call::End::ok : Call::End::refused;
-    if (call.read)
-      call.revision = result.chosen.configRevision.value;
-    if (call.done)
-      clock_.after(0, std::exchange(call.done, {}));
-    if (result.chosen.sequence > m.known.sequence)
-      m.known = result.chosen;
+    if (call.read) call.revision = result.chosen.configRevision.value;
+    if (call.done) clock_.after(0, std::exchange(call.done, {}));
+    if (result.chosen.sequence > m.known.sequence) m.known = result.chosen;
     m.shelf.put(m.known.config);
     m.ahead = -1;
     m.half = -1;
-    if (call.end == Call::End::ok)
-      newest_ = std::max(newest_, call.revision);
+    if (call.end == Call::End::ok) newest_ = std::max(newest_, call.revision);
   }
 
   // A message from one machine to another: late, lost or cut off.
-  void deliver(const NodeId &from, const NodeId &to,
+  void deliver(const NodeId& from, const NodeId& to, std::function<void()> work) {
+    deliver(from, to, std::nullopt, std::move(work));
+  }
+
+  void deliver(const NodeId& from, const NodeId& to, std::optional<Ask::Kind> kind,
                std::function<void()> work) {
     if (from != to) {
-      if (cuts_.contains(from) || cuts_.contains(to))
-        return;
-      if (!healed_ && clock_.chance(number(s_, "loss", 0)))
-        return;
+      if (cuts_.contains(from) || cuts_.contains(to)) return;
+      if (!healed_ && clock_.chance(number(s_, "loss", 0))) return;
     }
     const auto delays = linesOf(s_, "delay");
     const double low = delays.empty() ? 0.5 : std::stod(delays[0]->words.at(1));
     const double high = delays.empty() ? 3 : std::stod(delays[0]->words.at(2));
     double wait = from == to ? 0 : clock_.uniform(low, high);
+    // slow FROM TO KIND MS: those messages take so much longer
+    static const char* const kinds[] = {"prepare", "accept", "rejoin", "fetch"};
+    for (const auto* line : linesOf(s_, "slow")) {
+      const auto& w = line->words;
+      const bool hit = kind && w.at(3) == kinds[static_cast<int>(*kind)];
+      if (hit && w.at(1) == from.str() && w.at(2) == to.str()) wait += std::stod(w.at(4));
+    }
     const double frozen = machine(to.str()).frozenUntil - clock_.ms();
-    if (frozen > 0)
-      wait += frozen;
+    if (frozen > 0) wait += frozen;
     clock_.after(wait, std::move(work));
   }
 
   // The voter's side with its disk: the reply waits for the sync of what it
   // rests on.
-  void answer(Machine &m, const Ask &sent, std::function<void(Reply)> back) {
-    if (!m.ledge)
-      return;
+  void answer(Machine& m, const Ask& sent, std::function<void(Reply)> back) {
+    if (!m.ledge) return;
     Ask ask;
     try {
-      ask =
-          cairn::askFrom(nlohmann::json::parse(toJson(sent).dump()), &m.shelf);
-    } catch (const std::exception &) {
-      return; // it was wiped since it said which text it has: no answer
+      ask = cairn::askFrom(nlohmann::json::parse(toJson(sent).dump()), &m.shelf);
+    } catch (const std::exception&) {
+      return;  // it was wiped since it said which text it has: no answer
     }
     const auto out = m.ledge->ask(ask);
     m.shelf.put(m.ledge->value().config);
@@ -463,10 +424,8 @@
     const auto state = m.ledge->save();
     const auto order = ++m.saves;
     const double hung = std::max(0.0, m.hungUntil - clock_.ms());
-    clock_.after(hung + clock_.uniform(0.5, 2), [this, &m, life, state, order,
-                                                 out, back, ask] {
-      if (m.life != life || m.full)
-        return;
+    clock_.after(hung + clock_.uniform(0.5, 2), [this, &m, life, state, order, out, back, ask] {
+      if (m.life != life || m.full) return;
       // A fault of its own: the reply doesn't wait for the disk, which gets it
       // now and then. The disk takes them in order: a save that is overtaken is
       // part of the one before it.
@@ -475,43 +434,34 @@
         m.disk = state;
         m.savedTo = order;
       }
-      if (duties() && ask.kind == Ask::Kind::accept && out.reply.ok)
-        accepted(m, ask);
+      if (duties() && ask.kind == Ask::Kind::accept && out.reply.ok) accepted(m, ask);
       back(out.reply);
     });
   }
 
   // Voters that sleep ask the others; values left half done are finished.
   void tick() {
-    for (auto &owned : machines_) {
-      auto &m = *owned;
-      if (!m.ledge || m.frozenUntil > clock_.ms())
-        continue;
-      if (duties())
-        keepVoters(m);
-      if (!m.ledge)
-        continue; // it has left
+    for (auto& owned : machines_) {
+      auto& m = *owned;
+      if (!m.ledge || m.frozenUntil > clock_.ms()) continue;
+      if (duties()) keepVoters(m);
+      if (!m.ledge) continue;  // it has left
       if (!m.ledge->awake()) {
-        for (const auto &voter : m.known.voters) {
-          if (voter == m.id)
-            continue;
+        for (const auto& voter : m.known.voters) {
+          if (voter == m.id) continue;
           const auto ask = m.ledge->rejoinAsk(voter);
           const int life = m.life;
-          deliver(m.id, voter, [this, &m, voter, ask, life] {
-            answer(machine(voter.str()), *ask,
-                   [this, &m, voter, life](Reply r) {
-                     deliver(voter, m.id, [&m, voter, life, r] {
-                       if (m.life != life || !m.ledge)
-                         return;
-                       if (m.ledge->rejoinReply(voter, r, m.known))
-                         m.shelf.put(m.ledge->value().config);
-                     });
-                   });
+          deliver(m.id, voter, Ask::Kind::rejoin, [this, &m, voter, ask, life] {
+            answer(machine(voter.str()), *ask, [this, &m, voter, life](Reply r) {
+              deliver(voter, m.id, [&m, voter, life, r] {
+                if (m.life != life || !m.ledge) return;
+                if (m.ledge->rejoinReply(voter, r, m.known)) m.shelf.put(m.ledge->value().config);
+              });
+            });
           });
         }
       } else if (m.ledge->value().sequence > m.known.sequence) {
-        if (m.ahead < 0)
-          m.ahead = clock_.ms();
+        if (m.ahead < 0) m.ahead = clock_.ms();
         if (clock_.ms() - m.ahead > 300) {
           m.ahead = clock_.ms();
           startRead(m);
@@ -528,26 +478,20 @@
 
   // News: who is there, and the newest chosen value.
   void beat() {
-    for (auto &from : machines_) {
-      if (!from->ledge || from->frozenUntil > clock_.ms())
-        continue;
-      for (auto &to : machines_) {
-        if (to == from)
-          continue;
+    for (auto& from : machines_) {
+      if (!from->ledge || from->frozenUntil > clock_.ms()) continue;
+      for (auto& to : machines_) {
+        if (to == from) continue;
         deliver(from->id, to->id,
-                [this, id = from->id, to = to.get(),
-                 awake = from->ledge->awake(), leaving = from->leaving >= 0,
-                 value = from->known] {
-                  if (!to->ledge)
-                    return;
-                  auto &heard = to->heard[id];
-                  if (heard.at < 0)
-                    heard.known = clock_.ms();
+                [this, id = from->id, to = to.get(), awake = from->ledge->awake(),
+                 leaving = from->leaving >= 0, value = from->known] {
+                  if (!to->ledge) return;
+                  auto& heard = to->heard[id];
+                  if (heard.at < 0) heard.known = clock_.ms();
                   heard.at = clock_.ms();
                   heard.awake = awake;
                   heard.leaving = leaving;
-                  if (value.sequence > to->known.sequence ||
-                      to->known.voters.empty()) {
+                  if (value.sequence > to->known.sequence || to->known.voters.empty()) {
                     to->known = value;
                     to->shelf.put(value.config);
                     to->half = to->ahead = -1;
@@ -558,15 +502,14 @@
     clock_.after(500, [this] { beat(); });
   }
 
-  cairn::VoterView viewOf(const Machine &m) {
+  cairn::VoterView viewOf(const Machine& m) {
     cairn::VoterView view{m.known.voters, {}, tolerance_};
     const double now = clock_.ms();
     const auto span = [&](double since) { return fromMillis(now - since); };
     std::set<NodeId> all(m.known.voters.begin(), m.known.voters.end());
-    for (const auto &[id, heard] : m.heard)
-      all.insert(id);
+    for (const auto& [id, heard] : m.heard) all.insert(id);
     all.insert(m.id);
-    for (const auto &id : all) {
+    for (const auto& id : all) {
       cairn::CoreView seen;
       seen.id = id;
       const auto it = m.heard.find(id);
@@ -591,149 +534,117 @@
 
   // The rule that is gone: newcomers are added first, and a dead one taken out
   // after ten seconds.
-  static std::optional<std::vector<NodeId>>
-  oldRule(const cairn::VoterView &view) {
+  static std::optional<std::vector<NodeId>> oldRule(const cairn::VoterView& view) {
     auto next = view.voters;
-    for (const auto &seen : view.machines) {
-      if (!seen.heard || seen.leaving || seen.known < cairn::kNewcomerSettled)
-        continue;
-      if (std::find(next.begin(), next.end(), seen.id) == next.end())
-        next.push_back(seen.id);
-    }
-    for (const auto &seen : view.machines) {
-      if (next != view.voters ||
-          next.size() <= cairn::fewestVoters(view.tolerance))
-        break;
-      if (seen.silent > cairn::kVoterLost)
-        std::erase(next, seen.id);
+    for (const auto& seen : view.machines) {
+      if (!seen.heard || seen.leaving || seen.known < cairn::kNewcomerSettled) continue;
+      if (std::find(next.begin(), next.end(), seen.id) == next.end()) next.push_back(seen.id);
+    }
+    for (const auto& seen : view.machines) {
+      if (next != view.voters || next.size() <= cairn::fewestVoters(view.tolerance)) break;
+      if (seen.silent > cairn::kVoterLost) std::erase(next, seen.id);
     }
     std::sort(next.begin(), next.end());
     return next == view.voters ? std::nullopt : std::make_optional(next);
   }
 
-  void keepVoters(Machine &m) {
+  void keepVoters(Machine& m) {
     const double now = clock_.ms();
-    if (now - m.tickedAt > 1000)
-      m.listening = now;
+    if (now - m.tickedAt > 1000) m.listening = now;
     m.tickedAt = now;
-    if (m.ledge->awake())
-      tellLife(m);
+    if (m.ledge->awake()) tellLife(m);
     const auto view = viewOf(m);
-    const auto next =
-        fault("oldrule") ? oldRule(view) : cairn::nextVoters(view);
+    const auto next = fault("oldrule") ? oldRule(view) : cairn::nextVoters(view);
     if (m.leaving >= 0) {
-      const bool needed =
-          !m.known.before.empty() ||
-          (next && std::find(next->begin(), next->end(), m.id) == next->end());
+      const bool needed = !m.known.before.empty() ||
+                          (next && std::find(next->begin(), next->end(), m.id) == next->end());
       if (!needed || fault("oldrule") || now - m.leaving > 3000) {
         down(m, m.downFor == 0, m.downFor == 0 ? 1e9 : m.downFor);
         return;
       }
     }
-    if (!m.ledge->awake() || m.changing || m.known.voters.empty())
-      return;
+    if (!m.ledge->awake() || m.changing || m.known.voters.empty()) return;
     if (!m.known.before.empty()) {
-      if (m.half < 0)
-        m.half = now;
-      const auto &voters = m.known.voters;
-      const auto place =
-          std::find(voters.begin(), voters.end(), m.id) - voters.begin();
-      if (now - m.half > 250 + 40.0 * static_cast<double>(place))
-        change(m, {});
+      if (m.half < 0) m.half = now;
+      const auto& voters = m.known.voters;
+      const auto place = std::find(voters.begin(), voters.end(), m.id) - voters.begin();
+      if (now - m.half > 250 + 40.0 * static_cast<double>(place)) change(m, {});
     } else if (m.leaving < 0 && next && cairn::holdsDuty(view, m.id)) {
       change(m, *next);
     }
   }
 
-  void tellLife(Machine &m) {
+  void tellLife(Machine& m) {
     // A fault of its own: only those that were read before it woke know its
     // life.
-    if (clock_.ms() < m.tellAt || fault("untold"))
-      return;
+    if (clock_.ms() < m.tellAt || fault("untold")) return;
     m.tellAt = clock_.ms() + 2000;
     const int life = m.life;
-    for (const auto &voter : m.known.voters) {
-      if (voter == m.id || m.lifeTold.contains(voter))
-        continue;
-      deliver(m.id, voter,
-              [this, &m, voter, life, ask = m.ledge->lifeAsk(voter)] {
-                answer(machine(voter.str()), ask,
-                       [this, &m, voter, life](const Reply &reply) {
-                         deliver(voter, m.id, [&m, voter, life, reply] {
-                           if (m.life != life || !m.ledge)
-                             return;
-                           if (reply.ok)
-                             m.lifeTold.insert(voter);
-                           m.ledge->rejoinReply(voter, reply, m.known);
-                         });
-                       });
-              });
+    for (const auto& voter : m.known.voters) {
+      if (voter == m.id || m.lifeTold.contains(voter)) continue;
+      deliver(m.id, voter, [this, &m, voter, life, ask = m.ledge->lifeAsk(voter)] {
+        answer(machine(voter.str()), ask, [this, &m, voter, life](const Reply& reply) {
+          deliver(voter, m.id, [&m, voter, life, reply] {
+            if (m.life != life || !m.ledge) return;
+            if (reply.ok) m.lifeTold.insert(voter);
+            m.ledge->rejoinReply(voter, reply, m.known);
+          });
+        });
+      });
     }
   }
 
-  void change(Machine &m, const std::vector<NodeId> &voters) {
+  void change(Machine& m, const std::vector<NodeId>& voters) {
     m.changing = true;
     auto call = std::make_shared<Call>();
     call->read = true;
     const int life = m.life;
     clock_.after(1000, [&m, life] {
-      if (m.life == life)
-        m.changing = false;
+      if (m.life == life) m.changing = false;
     });
     run(
         m, call,
-        [this, epoch = m.known.epoch, voters](const Value &current,
-                                              Value &next) {
+        [this, epoch = m.known.epoch, voters](const Value& current, Value& next) {
           Climber::Verdict verdict;
-          if (current.epoch != epoch ||
-              current.before.empty() == voters.empty())
-            return verdict;
+          if (current.epoch != epoch || current.before.empty() == voters.empty()) return verdict;
           verdict.kind = Climber::Verdict::Kind::put;
           next.epoch = current.epoch + 1;
-          next.before =
-              current.before.empty() ? current.voters : std::vector<NodeId>{};
+          next.before = current.before.empty() ? current.voters : std::vector<NodeId>{};
           // A fault of its own: the new voters take over without the old ones.
-          if (fault("onemajority"))
-            next.before.clear();
-          if (!voters.empty())
-            next.voters = voters;
+          if (fault("onemajority")) next.before.clear();
+          if (!voters.empty()) next.voters = voters;
           return verdict;
         },
         [&m, this] {
           m.changing = false;
-          if (!m.known.before.empty() && m.ledge && !m.changing)
-            change(m, {});
+          if (!m.known.before.empty() && m.ledge && !m.changing) change(m, {});
         });
   }
 
-  void leave(Machine &m, double downFor) {
-    if (!m.ledge)
-      return;
+  void leave(Machine& m, double downFor) {
+    if (!m.ledge) return;
     m.leaving = clock_.ms();
     m.downFor = downFor;
   }
 
   // ---- The invariant, checked with every acceptance.
 
-  void problem(const std::string &what) {
+  void problem(const std::string& what) {
     if (problems_.size() < 5) {
-      problems_.push_back(what + " (at " +
-                          std::to_string(static_cast<int>(clock_.ms())) +
-                          " ms)");
+      problems_.push_back(what + " (at " + std::to_string(static_cast<int>(clock_.ms())) + " ms)");
     }
   }
 
-  static bool chosenBy(const Value &value, const std::set<NodeId> &have) {
+  static bool chosenBy(const Value& value, const std::set<NodeId>& have) {
     return cairn::majority(value.voters, have) &&
            (value.before.empty() || cairn::majority(value.before, have));
   }
 
   // Does each majority of one set meet each of the other?
-  static bool meet(const std::vector<NodeId> &a, const std::vector<NodeId> &b) {
+  static bool meet(const std::vector<NodeId>& a, const std::vector<NodeId>& b) {
     std::size_t common = 0;
-    for (const auto &node : a)
-      common += std::find(b.begin(), b.end(), node) != b.end() ? 1 : 0;
-    const auto least = [common](const std::vector<NodeId> &set) {
+    for (const auto& node : a) common += std::find(b.begin(), b.end(), node) != b.end() ? 1 : 0;
+    const auto least = [common](const std::vector<NodeId>& set) {
       const std::size_t apart = set.size() - common;
       const std::size_t most = set.size() / 2 + 1;
       return most > apart ? most - apart : 0;
@@ -741,25 +652,22 @@
     return least(a) + least(b) > common;
   }
 
-  static bool quorumsMeet(const Value &a, const Value &b) {
-    for (const auto *x : {&a.voters, &a.before}) {
-      for (const auto *y : {&b.voters, &b.before}) {
-        if (!x->empty() && !y->empty() && meet(*x, *y))
-          return true;
+  static bool quorumsMeet(const Value& a, const Value& b) {
+    for (const auto* x : {&a.voters, &a.before}) {
+      for (const auto* y : {&b.voters, &b.before}) {
+        if (!x->empty() && !y->empty() && meet(*x, *y)) return true;
       }
     }
     return false;
   }
 
-  void accepted(const Machine &m, const Ask &ask) {
-    auto &[value, have] = acceptances_[ask.ballot];
+  void accepted(const Machine& m, const Ask& ask) {
+    auto& [value, have] = acceptances_[ask.ballot];
     value = ask.value;
     have.insert(m.id);
-    if (!chosenBy(value, have))
-      return;
+    if (!chosenBy(value, have)) return;
     const auto [it, fresh] = chosen_.try_emplace(value.sequence, value);
-    if (it->second.stamp != value.stamp)
-      problem("two values chosen under one sequence");
+    if (it->second.stamp != value.stamp) problem("two values chosen under one sequence");
     if (fresh && value.sequence > 1) {
       const auto before = chosen_.find(value.sequence - 1);
       if (before != chosen_.end() && !quorumsMeet(before->second, value)) {
@@ -768,24 +676,21 @@
     }
     const std::size_t fewest = cairn::fewestVoters(tolerance_);
     grown_ = grown_ || value.voters.size() >= fewest;
-    if (grown_ && value.voters.size() < fewest)
-      problem("fewer than 2f + 1 voters");
+    if (grown_ && value.voters.size() < fewest) problem("fewer than 2f + 1 voters");
     held();
   }
 
   // The newest chosen value is on a majority of the disks of its voters, but
   // for those lost since.
   void held() {
-    if (chosen_.empty())
-      return;
-    const auto &newest = chosen_.rbegin()->second;
-    for (const auto *set : {&newest.voters, &newest.before}) {
-      if (set->empty())
-        continue;
+    if (chosen_.empty()) return;
+    const auto& newest = chosen_.rbegin()->second;
+    for (const auto* set : {&newest.voters, &newest.before}) {
+      if (set->empty()) continue;
       std::size_t holders = 0;
       std::size_t lost = 0;
-      for (const auto &id : *set) {
-        const auto &m = machine(id.str());
+      for (const auto& id : *set) {
+        const auto& m = machine(id.str());
         const auto saved = m.disk ? Ledge::restore(id, *m.disk) : std::nullopt;
         if (!saved || !saved->awake()) {
           ++lost;
@@ -794,54 +699,49 @@
         }
       }
       if (holders == 0 || holders + lost < set->size() / 2 + 1) {
-        problem("a chosen value is on " + std::to_string(holders) +
-                " disks of " + std::to_string(set->size()) + " voters");
+        problem("a chosen value is on " + std::to_string(holders) + " disks of " +
+                std::to_string(set->size()) + " voters");
       }
     }
   }
 
   // ---- Troubles, one after the other, never more than may be lost at once.
 
-  std::vector<Machine *> running() {
-    std::vector<Machine *> out;
-    for (auto &m : machines_) {
-      if (m->ledge && m->leaving < 0)
-        out.push_back(m.get());
+  std::vector<Machine*> running() {
+    std::vector<Machine*> out;
+    for (auto& m : machines_) {
+      if (m->ledge && m->leaving < 0) out.push_back(m.get());
     }
     std::shuffle(out.begin(), out.end(), clock_.random);
     return out;
   }
 
-  Machine *unused() {
-    if (running_ >= static_cast<int>(machines_.size()))
-      return nullptr;
+  Machine* unused() {
+    if (running_ >= static_cast<int>(machines_.size())) return nullptr;
     return machines_[static_cast<std::size_t>(running_++)].get();
   }
 
   void trouble(int left) {
-    if (left == 0)
-      return;
+    if (left == 0) return;
     const auto some = running();
     const std::size_t many = 1 + clock_.random() % tolerance_;
-    double over = 0; // when the last of them is back, from now
+    double over = 0;  // when the last of them is back, from now
     std::string what;
     for (std::size_t i = 0; i < many; ++i) {
-      auto &m = *some.at(i);
+      auto& m = *some.at(i);
       const double at = clock_.uniform(0, 300);
       const auto kind = clock_.random() % 6;
-      Machine *other = kind < 2 ? unused() : nullptr;
-      if (other != nullptr &&
-          kind == 0) { // gone for good, its successor starts a little later
+      Machine* other = kind < 2 ? unused() : nullptr;
+      if (other != nullptr && kind == 0) {  // gone for good, its successor starts a little later
         const double gap = clock_.uniform(300, 1500);
         what += " replace " + m.id.str();
         clock_.after(at, [this, &m] { down(m, true, 1e9); });
         clock_.after(at + gap, [this, other] { boot(*other); });
-        if (clock_.chance(0.3)) { // it loses its disk while joining
-          clock_.after(at + gap + 200,
-                       [this, other] { down(*other, true, 200); });
+        if (clock_.chance(0.3)) {  // it loses its disk while joining
+          clock_.after(at + gap + 200, [this, other] { down(*other, true, 200); });
         }
         over = std::max(over, at + gap + 400);
-      } else if (other != nullptr) { // planned: the new one first
+      } else if (other != nullptr) {  // planned: the new one first
         what += " planned " + m.id.str();
         clock_.after(at, [this, other] { boot(*other); });
         clock_.after(at + 3000, [this, &m] { leave(m, 0); });
@@ -859,8 +759,7 @@
       } else if (kind == 4) {
         what += " freeze " + m.id.str();
         const double away = clock_.uniform(1000, 14000);
-        clock_.after(at,
-                     [this, &m, away] { m.frozenUntil = clock_.ms() + away; });
+        clock_.after(at, [this, &m, away] { m.frozenUntil = clock_.ms() + away; });
         over = std::max(over, at + away);
       } else {
         what += " cut " + m.id.str();
@@ -880,37 +779,30 @@
   }
 
   // So many more are frozen, and an order must be taken meanwhile.
-  void bear(std::size_t count, double forMs, const std::string &after) {
+  void bear(std::size_t count, double forMs, const std::string& after) {
     auto some = running();
-    for (std::size_t i = 0; i < count; ++i)
-      some.at(i)->frozenUntil = clock_.ms() + forMs;
+    for (std::size_t i = 0; i < count; ++i) some.at(i)->frozenUntil = clock_.ms() + forMs;
     const auto calls = std::make_shared<std::vector<std::shared_ptr<Call>>>();
     for (int i = 0; i < 3; ++i) {
-      auto &through =
-          *some.at(count + static_cast<std::size_t>(i) % (some.size() - count));
-      clock_.after(50 + i * 500, [this, &through, calls] {
-        calls->push_back(append(through));
-      });
+      auto& through = *some.at(count + static_cast<std::size_t>(i) % (some.size() - count));
+      clock_.after(50 + i * 500, [this, &through, calls] { calls->push_back(append(through)); });
     }
     ++borne_;
     clock_.after(forMs - 1, [this, calls, after] {
-      const bool taken =
-          std::any_of(calls->begin(), calls->end(),
-                      [](const auto &c) { return c->end == Call::End::ok; });
-      if (!taken)
-        problem("no order taken with f more lost, after" + after);
+      const bool taken = std::any_of(calls->begin(), calls->end(),
+                                     [](const auto& c) { return c->end == Call::End::ok; });
+      if (!taken) problem("no order taken with f more lost, after" + after);
     });
   }
 
   // An order on whatever is in place.
-  std::shared_ptr<Call> append(Machine &m) {
+  std::shared_ptr<Call> append(Machine& m) {
     auto call = std::make_shared<Call>();
     call->digest = "d" + std::to_string(++digests_);
-    run(m, call, [this, call](const Value &current, Value &next) {
+    run(m, call, [this, call](const Value& current, Value& next) {
       Climber::Verdict verdict;
-      for (const auto &taken : current.recent) {
-        if (taken.digest == call->digest)
-          return verdict;
+      for (const auto& taken : current.recent) {
+        if (taken.digest == call->digest) return verdict;
       }
       call->base = current.configRevision.value;
       call->revision = call->base + 1;
@@ -925,53 +817,41 @@
 
   void check() {
     require(problems_.empty(), problems_.empty() ? "" : problems_.front());
-    std::map<std::string, double> acked; // digest -> when acknowledged
-    for (const auto &a : calls_) {
-      if (a->read || a->end != Call::End::ok)
-        continue;
-      for (const auto &b : calls_) {
-        const bool other =
-            !b->read && b->end == Call::End::ok && b->digest != a->digest;
-        require(!other || b->base != a->base, "two changes on version " +
-                                                  std::to_string(a->base) +
-                                                  " were both acknowledged");
+    std::map<std::string, double> acked;  // digest -> when acknowledged
+    for (const auto& a : calls_) {
+      if (a->read || a->end != Call::End::ok) continue;
+      for (const auto& b : calls_) {
+        const bool other = !b->read && b->end == Call::End::ok && b->digest != a->digest;
+        require(!other || b->base != a->base,
+                "two changes on version " + std::to_string(a->base) + " were both acknowledged");
       }
     }
-    for (const auto &a : calls_) {
-      if (a->end != Call::End::ok && a->end != Call::End::refused)
-        continue;
-      for (const auto &b : calls_) {
+    for (const auto& a : calls_) {
+      if (a->end != Call::End::ok && a->end != Call::End::refused) continue;
+      for (const auto& b : calls_) {
         // Whatever b shows started after a had ended: it must not be older.
-        if (b->began <= a->ended || b->end == Call::End::unclear ||
-            b->end == Call::End::open) {
+        if (b->began <= a->ended || b->end == Call::End::unclear || b->end == Call::End::open) {
           continue;
         }
-        require(b->seen.sequence >= a->seen.sequence,
-                "a later call saw an older value");
-        if (a->read || a->end != Call::End::ok)
-          continue;
-        const bool there =
-            std::any_of(b->seen.recent.begin(), b->seen.recent.end(),
-                        [&](const auto &t) { return t.digest == a->digest; });
+        require(b->seen.sequence >= a->seen.sequence, "a later call saw an older value");
+        if (a->read || a->end != Call::End::ok) continue;
+        const bool there = std::any_of(b->seen.recent.begin(), b->seen.recent.end(),
+                                       [&](const auto& t) { return t.digest == a->digest; });
         require(there, "an acknowledged change is gone: " + a->digest);
       }
     }
     std::map<std::uint64_t, std::string> chain;
-    for (const auto &call : calls_) {
-      if (call->end != Call::End::ok && call->end != Call::End::refused)
-        continue;
-      auto &stamp = chain[call->seen.sequence];
-      require(stamp.empty() || stamp == call->seen.stamp,
-              "two values chosen under one sequence");
+    for (const auto& call : calls_) {
+      if (call->end != Call::End::ok && call->end != Call::End::refused) continue;
+      auto& stamp = chain[call->seen.sequence];
+      require(stamp.empty() || stamp == call->seen.stamp, "two values chosen under one sequence");
       stamp = call->seen.stamp;
     }
-    for (const auto &a : calls_) {
-      if (a->read || a->end != Call::End::refused)
-        continue;
-      for (const auto &b : calls_) {
-        for (const auto &taken : b->seen.recent) {
-          require(taken.digest != a->digest || sameCallTaken(*a),
-                  "a refused change is in force");
+    for (const auto& a : calls_) {
+      if (a->read || a->end != Call::End::refused) continue;
+      for (const auto& b : calls_) {
+        for (const auto& taken : b->seen.recent) {
+          require(taken.digest != a->digest || sameCallTaken(*a), "a refused change is in force");
         }
       }
     }
@@ -979,14 +859,14 @@
 
   // The same call sent through two nodes: one may have been told 412 only if
   // the other wasn't taken.
-  bool sameCallTaken(const Call &refused) const {
-    return std::any_of(calls_.begin(), calls_.end(), [&](const auto &c) {
+  bool sameCallTaken(const Call& refused) const {
+    return std::any_of(calls_.begin(), calls_.end(), [&](const auto& c) {
       return c.get() != &refused && !c->read && c->digest == refused.digest &&
              c->began < refused.ended;
     });
   }
 
-  const Scenario &s_;
+  const Scenario& s_;
   Clock clock_;
   std::vector<NodeId> first_;
   std::vector<std::unique_ptr<Machine>> machines_;
@@ -999,17 +879,17 @@
   std::size_t started_ = 0;
   std::size_t tolerance_ = 0;
   std::map<cairn::Ballot, std::pair<Value, std::set<NodeId>>> acceptances_;
-  std::map<std::uint64_t, Value> chosen_; // by sequence
+  std::map<std::uint64_t, Value> chosen_;  // by sequence
   std::vector<std::string> problems_;
   bool grown_ = false;
   int borne_ = 0;
 };
 
-} // namespace
+}  // namespace
 
-void playRegister(const Scenario &scenario, std::uint64_t seed,
-                  std::map<std::string, double> &out) {
+void playRegister(const Scenario& scenario, std::uint64_t seed,
+                  std::map<std::string, double>& out) {
   RegisterWorld(scenario, seed).play(out);
 }
 
-} // namespace merlin::test
+}  // namespace merlin::test
