--- a/tests/voters.cpp
+++ b/tests/voters.cpp
@@ -24,11 +24,11 @@
 }
 
 void play(const std::string& program) {
-  Mesh mesh(program, "127.94");
+  Mesh mesh(program, "127.95");
   mesh.adjust = [](json& settings) {
     settings["policy_terms"]["fault_tolerance"] = {{"machines", 2}};
   };
-  const auto core = [](int n) { return "127.94.0." + std::to_string(n); };
+  const auto core = [](int n) { return "127.95.0." + std::to_string(n); };
   for (int n = 1; n <= 5; ++n) mesh.start(core(n), Mesh::Kind::core, true);
   int revision = 0;
   // An operator sends the same again until it has an answer.
