--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -20,7 +20,6 @@
 constexpr Span kRepairAfter = std::chrono::milliseconds(250);
 constexpr Span kRepairTurn = std::chrono::milliseconds(40);
 constexpr Span kRejoinEvery = std::chrono::milliseconds(250);
-constexpr Span kTellEvery = std::chrono::seconds(2);
 constexpr Span kOwnClimb = std::chrono::milliseconds(900);
 }  // namespace
 
@@ -66,7 +65,6 @@
     // Where something was held and can't be read, promises may be among it.
     const bool damaged = parts_.cellar->found() != Cellar::Found::nothing;
     const bool first = settings.bootstrap && !damaged;
-    first_ = first;
     ledge_.emplace(settings.self, Life{random_() >> 1}, first);
     parts_.log(damaged ? "damaged disk, the other voters are read before voting"
                : first ? "first start, empty state"
@@ -191,7 +189,6 @@
     rejoin();
     return;
   }
-  tellLife();
   repair();
   finishVoters();
 }
@@ -200,11 +197,12 @@
   const Instant now = parts_.bell.now();
   if (now < rejoinAt_) return;
   rejoinAt_ = now + kRejoinEvery;
+  const auto question = ledge_->rejoinAsk();
   std::set<NodeId> others(known_.voters.begin(), known_.voters.end());
   others.insert(known_.before.begin(), known_.before.end());
   others.erase(parts_.settings.self);
   for (const auto& other : others) {
-    parts_.wire.post(other, "/register", toJson(*ledge_->rejoinAsk(other)), kRejoinLimit,
+    parts_.wire.post(other, "/register", toJson(*question), kRejoinLimit,
                      [this, other](std::optional<json> answer) {
                        if (!answer || ledge_->awake()) return;
                        try {
@@ -220,30 +218,6 @@
   }
 }
 
-// A voter that knows of an earlier life only would refuse what rests on promises of this one.
-void Council::tellLife() {
-  const Instant now = parts_.bell.now();
-  if (first_ || now < tellAt_) return;
-  tellAt_ = now + kTellEvery;
-  for (const auto* voters : {&known_.voters, &known_.before}) {
-    for (const auto& voter : *voters) {
-      if (voter == parts_.settings.self || lifeTold_.contains(voter)) continue;
-      parts_.wire.post(voter, "/register", toJson(ledge_->lifeAsk(voter)), kRejoinLimit,
-                       [this, voter](const std::optional<json>& answer) {
-                         if (!answer) return;
-                         try {
-                           const auto reply = cairn::replyFrom(*answer, &shelf_);
-                           if (reply.ok) lifeTold_.insert(voter);
-                           ledge_->rejoinReply(voter, reply, known_);
-                           if (!reply.ok && !reply.asleep) tellAt_ = parts_.bell.now();
-                         } catch (const std::exception&) {
-                           // A foreign answer counts as none.
-                         }
-                       });
-    }
-  }
-}
-
 // Repairs go in the order of the voters, so that they don't take each other's turn.
 Span Council::turn() const {
   const auto& voters = known_.voters;
--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -59,7 +59,6 @@
   void carry(const std::shared_ptr<Climb>& climb, const std::vector<cairn::Climber::Send>& sends);
   void settle(const std::shared_ptr<Climb>& climb);
   void rejoin();
-  void tellLife();
   void repair();
   void finishVoters();
   void changeVoters(const std::vector<NodeId>& voters);
@@ -84,9 +83,6 @@
   std::uint64_t halfEpoch_ = 0;
   std::optional<Instant> aheadSince_;
   Instant rejoinAt_;
-  bool first_ = false;  // the very first life, that nobody can take for a later one
-  Instant tellAt_;
-  std::set<NodeId> lifeTold_;  // voters that know this life
 };
 
 }  // namespace merlin::hut
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -12,7 +12,6 @@
 constexpr int kBackOffSteps = 4;
 constexpr Span kRoundMost = std::chrono::seconds(4);
 constexpr Span kFetchTime = std::chrono::seconds(2);
-constexpr std::size_t kNodesKept = 64;
 
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
@@ -128,8 +127,6 @@
     out["l"] = std::move(lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
-    if (!ask.have.empty()) out["h"] = ask.have;
-    if (ask.after) out["a"] = ask.after->value;
   } else if (ask.kind == Ask::Kind::fetch) {
     out["x"] = ask.text;
   } else if (!ask.have.empty()) {
@@ -153,8 +150,6 @@
     }
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
-    ask.have = j.value("h", "");
-    if (j.contains("a")) ask.after = Life{j.at("a").get<std::uint64_t>()};
   } else {
     ask.have = j.value("h", "");
     ask.text = j.value("x", std::uint64_t{0});
@@ -166,7 +161,6 @@
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
   if (reply.text != 0) out["x"] = reply.text;
-  if (reply.yours.value != 0) out["y"] = reply.yours.value;
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
@@ -184,7 +178,6 @@
   reply.asleep = j.value("z", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
-  reply.yours = Life{j.value("y", std::uint64_t{0})};
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
@@ -201,7 +194,11 @@
 
 Ledge::Saved Ledge::save() const {
   json lives = json::object();
-  for (const auto& [node, life] : lives_) lives[node.str()] = json::array({life.value});
+  for (const auto& [node, list] : lives_) {
+    json values = json::array();
+    for (const auto& life : list) values.push_back(life.value);
+    lives[node.str()] = std::move(values);
+  }
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
   const json head = {{"life", life_.value},
                      {"awake", awake_},
@@ -223,8 +220,9 @@
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
     for (const auto& [node, list] : saved.at("lives").items()) {
-      // A list in older files, the living one last.
-      if (!list.empty()) ledge.lives_[NodeId(node)] = Life{list.back().get<std::uint64_t>()};
+      for (const auto& life : list) {
+        ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
+      }
     }
     return ledge;
   } catch (const std::exception&) {
@@ -234,36 +232,18 @@
 
 Reply Ledge::answer(bool ok, bool same) const {
   return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0,
-          {}};
+          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
 }
 
-// Compare and set: a life follows the one that it names, and none can name one that came later. So
-// tellings may be late or in any order. What is kept is one life a machine; of those that vote no
-// more few are kept, as an accept that counts their promises names an older epoch.
-bool Ledge::tellLife(const NodeId& node, Life life, std::optional<Life> after) {
-  const auto [it, first] = lives_.try_emplace(node, life);
-  if (!first && it->second != life) {
-    if (after && *after != it->second) return false;
-    it->second = life;
-  }
-  if (first && lives_.size() > kNodesKept) {
-    std::erase_if(lives_, [&](const auto& entry) {
-      const auto& before = value_.before;
-      return entry.first != node && !value_.isVoter(entry.first) &&
-             std::find(before.begin(), before.end(), entry.first) == before.end();
-    });
-  }
+// False where the life named is over.
+bool Ledge::learnLife(const NodeId& node, Life life) {
+  auto& list = lives_[node];
+  if (!list.empty() && list.back() == life) return true;
+  if (std::find(list.begin(), list.end(), life) != list.end()) return false;
+  list.push_back(life);
   return true;
 }
 
-// A machine that has told of its life here has no other: one that was never told of is older.
-bool Ledge::isOver(const NodeId& node, Life life) const {
-  if (node == self_) return life != life_;
-  const auto it = lives_.find(node);
-  return it != lives_.end() && it->second != life;
-}
-
 Ledge::Out Ledge::ask(const Ask& ask) {
   if (!awake_) return {answer(false), false};
   switch (ask.kind) {
@@ -274,48 +254,37 @@
     case Ask::Kind::accept: {
       if (ask.ballot < promised_ || ask.value.epoch < value_.epoch) return {answer(false), false};
       for (const auto& [node, life] : ask.lives) {
-        if (isOver(node, life)) return {answer(false), false};
+        if (node == self_ && life != life_) return {answer(false), false};
+        const auto it = lives_.find(node);
+        if (it == lives_.end() || it->second.empty() || it->second.back() == life) continue;
+        const auto& list = it->second;
+        if (std::find(list.begin(), list.end(), life) != list.end()) return {answer(false), false};
       }
+      for (const auto& [node, life] : ask.lives) learnLife(node, life);
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
       return {answer(true, true), true};  // the asker wrote it
     }
-    case Ask::Kind::rejoin: {
-      const auto known = lives_.find(ask.from);
-      const bool same = known != lives_.end() && known->second == ask.life;
-      if (tellLife(ask.from, ask.life, ask.after)) return {answer(true, !ask.have.empty()), !same};
-      Out refused{answer(false, true), false};
-      refused.reply.yours = lives_.at(ask.from);
-      return refused;
-    }
+    case Ask::Kind::rejoin:
+      if (!learnLife(ask.from, ask.life)) return {answer(false), false};
+      return {answer(true), true};
     case Ask::Kind::fetch:
       return {answer(true), false};
   }
   return {answer(false), false};
 }
 
-std::optional<Ask> Ledge::rejoinAsk(const NodeId& to) const {
+std::optional<Ask> Ledge::rejoinAsk() const {
   if (awake_) return std::nullopt;
-  Ask ask = lifeAsk(to);
-  ask.have.clear();
-  return ask;
-}
-
-Ask Ledge::lifeAsk(const NodeId& to) const {
   Ask ask;
   ask.kind = Ask::Kind::rejoin;
   ask.from = self_;
   ask.life = life_;
-  ask.have = "life";
-  const auto it = after_.find(to);
-  ask.after = it == after_.end() ? Life{} : it->second;
   return ask;
 }
 
 bool Ledge::rejoinReply(const NodeId& from, const Reply& reply, const Value& known) {
-  // Another life is on record there: this one comes after it.
-  if (!reply.ok && reply.yours.value != 0) after_[from] = reply.yours;
   if (awake_ || !reply.ok || reply.asleep) return false;
   rejoin_[from] = reply;
   // The newest voters that anyone has told of decide whose answers count.
@@ -425,16 +394,8 @@
   highest_ = std::max(highest_, reply.promised.number);
   if (result_ || round != round_ || waiting_) return {};
   if (reply.asleep) return {};
-  if (!reply.ok) {
-    // One that has promised nothing higher minds the lives or the epoch: the others may do.
-    if (accepting_ && reply.promised <= ballot_) return {};
-    return backOff(now);
-  }
+  if (!reply.ok) return backOff(now);
   if (accepting_) {
-    // Only where the accept named the life that accepted: who learns that this life is over then
-    // refuses. Whoever promised too late takes the value all the same, but isn't counted.
-    const auto promise = promises_.find(from);
-    if (promise == promises_.end() || promise->second.life != reply.life) return {};
     accepts_.insert(from);
     if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
     return {};
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -69,10 +69,8 @@
   Ballot ballot;
   Value value;                   // accept
   std::map<NodeId, Life> lives;  // accept: the lives that promised
-  Life life;                     // rejoin: the asker's life,
-  std::optional<Life> after;     // and the one on record that it follows, 0 for none
-  std::string have;              // prepare: stamp of the value the asker holds already;
-                                 // rejoin: not empty where only the life is told
+  Life life;                     // rejoin: the asker's new life
+  std::string have;              // prepare: stamp of the value the asker holds already
   std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
                                  // accept (not sent): the reader's
 };
@@ -86,7 +84,6 @@
   Value value;
   bool same = false;       // the value is the one the asker holds: it is not sent again
   std::uint64_t text = 0;  // which text this voter has
-  Life yours;              // rejoin refused: the asker's life on record
 };
 
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
@@ -116,9 +113,7 @@
   Out ask(const Ask& ask);
 
   // A voter that is asleep: whom to ask, and what came back. True once it is awake (then save).
-  [[nodiscard]] std::optional<Ask> rejoinAsk(const NodeId& to) const;
-  // One that is awake tells its life to those that it has not read.
-  [[nodiscard]] Ask lifeAsk(const NodeId& to) const;
+  [[nodiscard]] std::optional<Ask> rejoinAsk() const;
   bool rejoinReply(const NodeId& from, const Reply& reply, const Value& known);
 
   [[nodiscard]] bool awake() const { return awake_; }
@@ -128,8 +123,7 @@
 
  private:
   [[nodiscard]] Reply answer(bool ok, bool same = false) const;
-  bool tellLife(const NodeId& node, Life life, std::optional<Life> after);
-  [[nodiscard]] bool isOver(const NodeId& node, Life life) const;
+  bool learnLife(const NodeId& node, Life life);
 
   NodeId self_;
   Life life_;
@@ -137,8 +131,7 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
-  std::map<NodeId, Life> lives_;  // as told by rejoin
-  std::map<NodeId, Life> after_;  // this machine's own earlier life, as others have it on record
+  std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
   std::map<NodeId, Reply> rejoin_;
 };
 
