--- a/src/process/council.hpp
+++ b/src/process/council.hpp
@@ -69,6 +69,7 @@
 
   Parts parts_;
   std::mt19937_64 random_;
+  Instant startedAt_;
   std::optional<cairn::Ledge> ledge_;
   cairn::Value known_;
   std::map<std::uint64_t, std::string> knownTexts_;
@@ -83,6 +84,7 @@
   std::uint64_t halfEpoch_ = 0;
   std::optional<Instant> aheadSince_;
   Instant rejoinAt_;
+  std::set<NodeId> rejoinAsked_;  // who has not answered yet
 };
 
 }  // namespace merlin::hut
--- a/src/version/register.cpp
+++ b/src/version/register.cpp
@@ -12,6 +12,12 @@
 constexpr int kBackOffSteps = 4;
 constexpr Span kRoundMost = std::chrono::seconds(4);
 constexpr Span kFetchTime = std::chrono::seconds(2);
+constexpr unsigned kLuckBits = 40;  // of a life; the rest is its generation
+// No honest round is so far above what a voter has promised; one such message would leave no number
+// for those that come after it.
+constexpr std::uint64_t kBallotJump = 1ULL << 40U;
+constexpr std::uint64_t kMostBallot = 1ULL << 62U;
+constexpr std::size_t kLivesNodes = 64;
 
 json names(const std::vector<NodeId>& nodes) {
   json out = json::array();
@@ -19,6 +25,21 @@
   return out;
 }
 
+json livesJson(const std::map<NodeId, Life>& lives) {
+  json out = json::object();
+  for (const auto& [node, life] : lives) out[node.str()] = life.value;
+  return out;
+}
+
+std::map<NodeId, Life> livesFrom(const json& j) {
+  std::map<NodeId, Life> out;
+  for (const auto& [node, life] : j.items()) {
+    // Earlier versions kept a list; the last of it was the living one.
+    out[NodeId(node)] = Life{(life.is_array() ? life.back() : life).get<std::uint64_t>()};
+  }
+  return out;
+}
+
 std::vector<NodeId> namesFrom(const json& j) {
   std::vector<NodeId> out;
   for (const auto& name : j) out.emplace_back(name.get<std::string>());
@@ -26,6 +47,19 @@
 }
 }  // namespace
 
+namespace {
+Life lifeOf(std::uint64_t generation, std::uint64_t luck) {
+  return Life{(generation << kLuckBits) | (luck & ((std::uint64_t{1} << kLuckBits) - 1))};
+}
+std::uint64_t generationOf(Life life) { return life.value >> kLuckBits; }
+}  // namespace
+
+Life firstLife(std::uint64_t luck) { return lifeOf(1, luck); }
+
+Life laterLife(Life than, std::uint64_t luck) {
+  return lifeOf(std::max<std::uint64_t>(generationOf(than), 1) + 1, luck);
+}
+
 Span extraTime(std::size_t bytes) { return Span(static_cast<std::int64_t>(bytes) * 4); }
 
 bool Value::isVoter(const NodeId& node) const {
@@ -35,7 +69,9 @@
 json toJson(const Ballot& ballot) { return json::array({ballot.number, ballot.by.str()}); }
 
 Ballot ballotFrom(const json& j) {
-  return {j.at(0).get<std::uint64_t>(), NodeId(j.at(1).get<std::string>())};
+  const Ballot ballot{j.at(0).get<std::uint64_t>(), NodeId(j.at(1).get<std::string>())};
+  if (ballot.number > kMostBallot) throw std::out_of_range("ballot");
+  return ballot;
 }
 
 namespace {
@@ -122,11 +158,10 @@
   json out = {{"k", static_cast<int>(ask.kind)}, {"f", ask.from.str()}, {"b", toJson(ask.ballot)}};
   if (ask.kind == Ask::Kind::accept) {
     out["v"] = toJson(ask.value, ask.text, shelf);
-    json lives = json::object();
-    for (const auto& [node, life] : ask.lives) lives[node.str()] = life.value;
-    out["l"] = std::move(lives);
+    out["l"] = livesJson(ask.lives);
   } else if (ask.kind == Ask::Kind::rejoin) {
     out["n"] = ask.life.value;
+    if (ask.text != 0) out["x"] = ask.text;
   } else if (ask.kind == Ask::Kind::fetch) {
     out["x"] = ask.text;
   } else if (!ask.have.empty()) {
@@ -145,11 +180,10 @@
   ask.ballot = ballotFrom(j.at("b"));
   if (ask.kind == Ask::Kind::accept) {
     ask.value = valueFrom(j.at("v"), shelf);
-    for (const auto& [node, life] : j.at("l").items()) {
-      ask.lives[NodeId(node)] = Life{life.get<std::uint64_t>()};
-    }
+    ask.lives = livesFrom(j.at("l"));
   } else if (ask.kind == Ask::Kind::rejoin) {
     ask.life = Life{j.at("n").get<std::uint64_t>()};
+    ask.text = j.value("x", std::uint64_t{0});
   } else {
     ask.have = j.value("h", "");
     ask.text = j.value("x", std::uint64_t{0});
@@ -160,7 +194,10 @@
 json toJson(const Reply& reply, std::uint64_t has, const Shelf* shelf, bool spare) {
   json out = {{"o", reply.ok}, {"n", reply.life.value}, {"p", toJson(reply.promised)}};
   if (reply.asleep) out["z"] = true;
+  if (reply.copied) out["c"] = true;
   if (reply.text != 0) out["x"] = reply.text;
+  if (reply.knows != Life{}) out["k"] = reply.knows.value;
+  if (!reply.lives.empty()) out["l"] = livesJson(reply.lives);
   if (reply.accepted.number > 0) {
     out["a"] = toJson(reply.accepted);
     if (reply.same) {
@@ -176,8 +213,11 @@
   Reply reply;
   reply.ok = j.at("o").get<bool>();
   reply.asleep = j.value("z", false);
+  reply.copied = j.value("c", false);
   reply.life = Life{j.at("n").get<std::uint64_t>()};
   reply.text = j.value("x", std::uint64_t{0});
+  reply.knows = Life{j.value("k", std::uint64_t{0})};
+  if (j.contains("l")) reply.lives = livesFrom(j.at("l"));
   reply.promised = ballotFrom(j.at("p"));
   if (j.contains("a")) {
     reply.accepted = ballotFrom(j.at("a"));
@@ -193,19 +233,14 @@
     : self_(std::move(self)), life_(life), awake_(awake) {}
 
 Ledge::Saved Ledge::save() const {
-  json lives = json::object();
-  for (const auto& [node, list] : lives_) {
-    json values = json::array();
-    for (const auto& life : list) values.push_back(life.value);
-    lives[node.str()] = std::move(values);
-  }
   const std::uint64_t apart = value_.config ? value_.config->id() : 0;
   const json head = {{"life", life_.value},
                      {"awake", awake_},
+                     {"copied", copied_},
                      {"promised", toJson(promised_)},
                      {"accepted", toJson(accepted_)},
                      {"value", toJson(value_, apart)},
-                     {"lives", std::move(lives)}};
+                     {"lives", livesJson(lives_)}};
   return {head.dump(), value_.config};
 }
 
@@ -216,36 +251,63 @@
     shelf.put(record.text);
     Ledge ledge(std::move(self), Life{saved.at("life").get<std::uint64_t>()},
                 saved.at("awake").get<bool>());
+    ledge.copied_ = saved.value("copied", false);
     ledge.promised_ = ballotFrom(saved.at("promised"));
     ledge.accepted_ = ballotFrom(saved.at("accepted"));
     ledge.value_ = valueFrom(saved.at("value"), &shelf);
-    for (const auto& [node, list] : saved.at("lives").items()) {
-      for (const auto& life : list) {
-        ledge.lives_[NodeId(node)].push_back(Life{life.get<std::uint64_t>()});
-      }
-    }
+    ledge.lives_ = livesFrom(saved.at("lives"));
     return ledge;
   } catch (const std::exception&) {
     return std::nullopt;
   }
 }
 
+std::optional<Ledge::Saved> Ledge::fenced(const Saved& saved, std::uint64_t luck) {
+  auto ledge = restore(NodeId(), saved);
+  if (!ledge) return std::nullopt;
+  ledge->life_ = laterLife(ledge->life_, luck);
+  ledge->awake_ = false;
+  ledge->copied_ = true;
+  return ledge->save();
+}
+
 Reply Ledge::answer(bool ok, bool same) const {
-  return {ok,        !awake_, life_, promised_,
-          accepted_, value_,  same,  value_.config ? value_.config->id() : 0};
+  Reply reply;
+  reply.ok = ok;
+  reply.asleep = !awake_;
+  reply.life = life_;
+  reply.promised = promised_;
+  reply.accepted = accepted_;
+  reply.value = value_;
+  reply.copied = copied_;
+  reply.same = same;
+  reply.text = value_.config ? value_.config->id() : 0;
+  reply.lives = lives_;
+  return reply;
 }
 
-// False where the life named is over.
+// False where the life named is over: a newer one is known. A first life is below all others and is
+// nothing to remember.
 bool Ledge::learnLife(const NodeId& node, Life life) {
-  auto& list = lives_[node];
-  if (!list.empty() && list.back() == life) return true;
-  if (std::find(list.begin(), list.end(), life) != list.end()) return false;
-  list.push_back(life);
+  const auto it = lives_.find(node);
+  if (it != lives_.end() && life < it->second) return false;
+  if (generationOf(life) > 1) lives_[node] = life;
   return true;
 }
 
+// Of nodes that are no voters nothing is needed: what names them is of an older epoch.
+void Ledge::forgetLives(const NodeId& but) {
+  if (lives_.size() <= kLivesNodes) return;
+  std::erase_if(lives_, [&](const auto& entry) {
+    const auto& before = value_.before;
+    return entry.first != but && !value_.isVoter(entry.first) &&
+           std::find(before.begin(), before.end(), entry.first) == before.end();
+  });
+}
+
 Ledge::Out Ledge::ask(const Ask& ask) {
   if (!awake_) return {answer(false), false};
+  if (ask.ballot.number > promised_.number + kBallotJump) return {answer(false), false};
   switch (ask.kind) {
     case Ask::Kind::prepare:
       if (ask.ballot < promised_) return {answer(false), false};
@@ -256,19 +318,23 @@
       for (const auto& [node, life] : ask.lives) {
         if (node == self_ && life != life_) return {answer(false), false};
         const auto it = lives_.find(node);
-        if (it == lives_.end() || it->second.empty() || it->second.back() == life) continue;
-        const auto& list = it->second;
-        if (std::find(list.begin(), list.end(), life) != list.end()) return {answer(false), false};
+        if (it != lives_.end() && life < it->second) return {answer(false), false};
       }
       for (const auto& [node, life] : ask.lives) learnLife(node, life);
       promised_ = ask.ballot;
       accepted_ = ask.ballot;
       value_ = ask.value;
+      copied_ = false;
+      forgetLives(self_);
       return {answer(true, true), true};  // the asker wrote it
     }
-    case Ask::Kind::rejoin:
-      if (!learnLife(ask.from, ask.life)) return {answer(false), false};
-      return {answer(true), true};
+    case Ask::Kind::rejoin: {
+      const bool newest = learnLife(ask.from, ask.life);
+      auto reply = answer(newest);
+      reply.knows = newest ? ask.life : lives_.at(ask.from);
+      forgetLives(ask.from);
+      return {reply, newest};
+    }
     case Ask::Kind::fetch:
       return {answer(true), false};
   }
@@ -285,8 +351,25 @@
 }
 
 bool Ledge::rejoinReply(const NodeId& from, const Reply& reply, const Value& known) {
-  if (awake_ || !reply.ok || reply.asleep) return false;
+  if (awake_ || reply.asleep) return false;
+  if (!reply.ok) {
+    // A newer life of this voter is known there: this one asks all anew, as one that is newer
+    // still.
+    if (reply.knows < life_) return false;
+    life_ = laterLife(reply.knows, mixHash(self_.str(), life_.value));
+    rejoin_.clear();
+    return false;
+  }
+  if (reply.knows != life_) return false;  // said to the life before
   rejoin_[from] = reply;
+  // One that lost its disk since it answered has forgotten what it was told, and may hold more now.
+  for (const auto& [node, r] : rejoin_) {
+    for (const auto& [other, life] : r.lives) learnLife(other, life);
+  }
+  std::erase_if(rejoin_, [this](const auto& entry) {
+    const auto it = lives_.find(entry.first);
+    return it != lives_.end() && entry.second.life < it->second;
+  });
   // The newest voters that anyone has told of decide whose answers count.
   const Value* newest = &known;
   for (const auto& [node, r] : rejoin_) {
@@ -307,6 +390,7 @@
     if (r.accepted > accepted_) {
       accepted_ = r.accepted;
       value_ = r.value;
+      copied_ = true;
     }
   }
   awake_ = true;
@@ -375,7 +459,7 @@
 
 bool Climber::everySame() const {
   for (const auto& [node, promise] : promises_) {
-    if (promise.accepted != bestBallot_) return false;
+    if (promise.accepted != bestBallot_ || promise.copied) return false;
   }
   return true;
 }
@@ -389,24 +473,48 @@
   return {};
 }
 
+// A voter that lost its disk may have promised or accepted in the life before. Of two voters that
+// count in one quorum, the one that answered the lost one's questions did so before this round, and
+// then the new life knows of it, or after, and then its reply tells of the new life: the older
+// life's reply doesn't count.
+bool Climber::consistent(const NodeId& from, const Reply& reply) {
+  const auto over = [this](const NodeId& node, Life life) {
+    const auto it = lives_.find(node);
+    return it != lives_.end() && life < it->second;
+  };
+  for (const auto& [node, life] : reply.lives) lives_[node] = std::max(lives_[node], life);
+  std::erase_if(promises_, [&](const auto& entry) {
+    if (!over(entry.first, entry.second.life)) return false;
+    asked_.erase(entry.first);  // its new life is asked
+    return true;
+  });
+  std::erase_if(accepts_, [&](const auto& entry) { return over(entry.first, entry.second); });
+  return !over(from, reply.life);
+}
+
 std::vector<Climber::Send> Climber::reply(const NodeId& from, std::uint64_t round,
                                           const Reply& reply, Instant now) {
   highest_ = std::max(highest_, reply.promised.number);
   if (result_ || round != round_ || waiting_) return {};
   if (reply.asleep) return {};
   if (!reply.ok) return backOff(now);
+  if (!consistent(from, reply)) return {};
   if (accepting_) {
-    accepts_.insert(from);
-    if (quorum(old_, accepts_) && quorum(next_, accepts_)) accepted();
+    accepts_[from] = reply.life;
+    std::set<NodeId> have;
+    for (const auto& [node, life] : accepts_) have.insert(node);
+    if (quorum(old_, have) && quorum(next_, have)) accepted();
     return {};
   }
   if (fetching_) {
-    if (!reply.value.config || reply.value.config->id() != bestValue_.absent) return {};
+    // The voter holds a newer value by now, and the text has gone: the newer one is read.
+    if (!reply.value.config || reply.value.config->id() != bestValue_.absent) return newRound(now);
     bestValue_.config = reply.value.config;
     bestValue_.absent = 0;
     return promised(now);
   }
   promises_[from] = reply;
+  // What a life that is over had accepted may be shown still: it is none the less true.
   if (reply.accepted > bestBallot_) {
     bestBallot_ = reply.accepted;
     bestValue_ = reply.same ? basis_ : reply.value;
--- a/src/version/register.hpp
+++ b/src/version/register.hpp
@@ -71,8 +71,8 @@
   std::map<NodeId, Life> lives;  // accept: the lives that promised
   Life life;                     // rejoin: the asker's new life
   std::string have;              // prepare: stamp of the value the asker holds already
-  std::uint64_t text = 0;        // prepare: a text that the asker has; fetch: the one it wants;
-                                 // accept (not sent): the reader's
+  std::uint64_t text = 0;        // prepare, rejoin: a text that the asker has; fetch: the one it
+                                 // wants; accept (not sent): the reader's
 };
 
 struct Reply {
@@ -82,8 +82,13 @@
   Ballot promised;
   Ballot accepted;
   Value value;
+  bool copied = false;     // the value was taken over from others, not accepted here
   bool same = false;       // the value is the one the asker holds: it is not sent again
   std::uint64_t text = 0;  // which text this voter has
+  Life knows;              // rejoin: the newest life of the asker that is known here
+  // What this voter knows of lives later than the first: replies of one round that contradict each
+  // other on who lives don't count together (a crash-consistent quorum).
+  std::map<NodeId, Life> lives;
 };
 
 nlohmann::json toJson(const Ask& ask, const Shelf* shelf = nullptr);
@@ -93,10 +98,15 @@
                       bool spare = false);
 Reply replyFrom(const nlohmann::json& j, const Shelf* shelf = nullptr);
 
+// The lives of a voter rise: a generation (the upper bits) and luck. One that woke is written down
+// at a majority of the others, so the next one, which asks a majority, takes a higher generation.
+Life firstLife(std::uint64_t luck);             // of a first start: below every life of a woken one
+Life laterLife(Life than, std::uint64_t luck);  // the next generation
+
 class Ledge {
  public:
   // A voter of the very first start may vote at once; one with an empty disk later must read
-  // the others first.
+  // the others first. Its life then has to be above that of any first start.
   Ledge(NodeId self, Life life, bool awake);
   // A head as JSON, and the configuration's text apart, as it is.
   struct Saved {
@@ -105,6 +115,8 @@
   };
   static std::optional<Ledge> restore(NodeId self, const Saved& saved);
   [[nodiscard]] Saved save() const;
+  // The same as of a voter that has lost its promises: a new life, asleep.
+  static std::optional<Saved> fenced(const Saved& saved, std::uint64_t luck);
 
   struct Out {
     Reply reply;
@@ -124,6 +136,7 @@
  private:
   [[nodiscard]] Reply answer(bool ok, bool same = false) const;
   bool learnLife(const NodeId& node, Life life);
+  void forgetLives(const NodeId& but);
 
   NodeId self_;
   Life life_;
@@ -131,7 +144,8 @@
   Ballot promised_;
   Ballot accepted_;
   Value value_;
-  std::map<NodeId, std::vector<Life>> lives_;  // the last one is the living one
+  bool copied_ = false;           // taken over at the wake-up: no proof that it was accepted here
+  std::map<NodeId, Life> lives_;  // the newest known of each voter that ever lost its disk
   std::map<NodeId, Reply> rejoin_;
 };
 
@@ -179,6 +193,8 @@
   std::vector<Send> promised(Instant now);
   std::vector<Send> backOff(Instant now);
   void accepted();
+  // Notes whose lives are over; false where this reply comes from such a one.
+  bool consistent(const NodeId& from, const Reply& reply);
   [[nodiscard]] bool everySame() const;
   static bool quorum(const Value& value, const std::set<NodeId>& have);
 
@@ -201,7 +217,8 @@
   int refusals_ = 0;
   std::set<NodeId> asked_;
   std::map<NodeId, Reply> promises_;
-  std::set<NodeId> accepts_;
+  std::map<NodeId, Life> accepts_;
+  std::map<NodeId, Life> lives_;  // the newest that any reply has told of
   Value bestValue_;
   Ballot bestBallot_;
   Value old_;
--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -30,6 +30,9 @@
   bool full = false;
   double frozenUntil = 0;
   Value known;
+  std::optional<Ledge::Saved> snapshot;
+  double bootAt = -1;            // until it has caught up
+  std::uint64_t bootBehind = 0;  // what had been acknowledged by then
   cairn::Shelf shelf;
   double ahead = -1;
   // What it knows of the others, where the voters are kept by duties.
@@ -47,9 +50,7 @@
   double leaving = -1;  // told to stop then
   double downFor = 0;   // and that long it will be away
   bool changing = false;
-  double half = -1;           // a change of voters has been seen half done since
-  std::set<NodeId> lifeTold;  // voters that know its life
-  double tellAt = 0;
+  double half = -1;  // a change of voters has been seen half done since
 };
 
 struct Call {
@@ -81,7 +82,7 @@
     for (auto& m : machines_) {
       if (static_cast<int>(++started_) > running_) continue;
       m->known.voters = first_;
-      m->ledge.emplace(m->id, Life{clock_.random() >> 1}, true);
+      m->ledge.emplace(m->id, cairn::firstLife(clock_.random()), true);
       m->disk = m->ledge->save();
     }
   }
@@ -89,6 +90,14 @@
   void play(std::map<std::string, double>& out) {
     const double length = number(s_, "length", 6000);
     for (const auto* line : linesOf(s_, "at")) schedule(*line);
+    for (const auto* line : linesOf(s_, "every")) {  // every MS WHAT ..., in the middle of the run
+      const double step = std::stod(line->words.at(1));
+      for (double at = step; at < length * 0.8; at += step) {
+        Line once = *line;
+        once.words[1] = std::to_string(at);
+        schedule(once);
+      }
+    }
     for (const auto* line : linesOf(s_, "random")) {
       const int count = std::stoi(line->words.at(2));
       for (int i = 0; i < count; ++i) {
@@ -132,7 +141,17 @@
       refused += call->end == Call::End::refused ? 1 : 0;
       unclear += call->end == Call::End::unclear ? 1 : 0;
     }
+    double lives = 0;  // most that a voter keeps of one node
+    for (const auto& m : machines_) {
+      if (!m->ledge) continue;
+      const auto head = nlohmann::json::parse(m->ledge->save().head);
+      for (const auto& list : head.at("lives")) {
+        lives = std::max(lives, static_cast<double>(list.size()));
+      }
+    }
+    double behind = 0;
     double awake = 0;
+    for (const auto& m : machines_) behind += m->ledge && m->bootAt >= 0 ? 1 : 0;
     for (const auto& m : machines_) awake += m->ledge && m->ledge->awake() ? 1 : 0;
     out = {{"acked", acked},
            {"reads", reads},
@@ -142,6 +161,10 @@
            {"voters", static_cast<double>(last->seen.voters.size())},
            {"epoch", static_cast<double>(last->seen.epoch)},
            {"borne", static_cast<double>(borne_)},
+           {"lives", lives},
+           {"boots", boots_},
+           {"behind", behind},
+           {"catch_up_ms", slowest_},
            {"broken", broken}};
   }
 
@@ -166,6 +189,16 @@
         startRead(machine(w.at(3)));
       } else if (what == "kill" || what == "power" || what == "wipe") {
         down(machine(w.at(3)), what == "wipe", std::stod(w.at(4)));
+      } else if (what == "snap") {
+        machine(w.at(3)).snapshot = machine(w.at(3)).disk;
+      } else if (what == "back") {  // back NODE MS: its disk is put back as the snapshot was
+        auto& m = machine(w.at(3));
+        down(m, true, std::stod(w.at(4)));
+        if (m.snapshot) {
+          // A fault of its own: the promises since are forgotten, and nobody is asked.
+          m.disk = fault("unfenced") ? m.snapshot : Ledge::fenced(*m.snapshot, clock_.random());
+          m.wiped = false;
+        }
       } else if (what == "hang") {
         machine(w.at(3)).hungUntil = clock_.ms() + std::stod(w.at(4));
       } else if (what == "full") {
@@ -228,17 +261,26 @@
         m.known.before = value.before;
       }
       m.heard.clear();
-      m.lifeTold.clear();
-      m.tellAt = 0;
       m.leaving = m.half = -1;
       m.changing = false;
       m.tickedAt = m.listening = clock_.ms();
     }
     // A fault of its own: one that lost its disk votes as if nothing had been.
-    if (!m.ledge) m.ledge.emplace(m.id, Life{clock_.random() >> 1}, fault("forgetful"));
+    if (!m.ledge) {
+      m.ledge.emplace(m.id, cairn::laterLife(Life{}, clock_.random()), fault("forgetful"));
+    }
     m.shelf = cairn::Shelf();
     m.shelf.put(m.ledge->value().config);
     m.wiped = false;
+    m.bootAt = clock_.ms();
+    m.bootBehind = ackedSequence_;
+    ++boots_;
+  }
+
+  void watchCatchUp(Machine& m) {
+    if (m.bootAt < 0 || !m.ledge->awake() || m.ledge->value().sequence < m.bootBehind) return;
+    slowest_ = std::max(slowest_, clock_.ms() - m.bootAt);
+    m.bootAt = -1;
   }
 
   std::size_t pickLive() {
@@ -329,7 +371,7 @@
              const std::vector<Climber::Send>& sends) {
     const int life = m.life;
     for (const auto& send : sends) {
-      deliver(m.id, send.to, send.ask.kind, [this, &m, call, climber, send, life] {
+      deliver(m.id, send.to, [this, &m, call, climber, send, life] {
         auto& voter = machine(send.to.str());
         answer(voter, send.ask, [this, &m, &voter, call, climber, send, life](Reply r) {
           const bool spare = send.ask.kind == Ask::Kind::prepare;
@@ -378,31 +420,32 @@
     m.shelf.put(m.known.config);
     m.ahead = -1;
     m.half = -1;
+    if (call.end == Call::End::ok) {
+      ackedSequence_ = std::max(ackedSequence_, result.chosen.sequence);
+    }
     if (call.end == Call::End::ok) newest_ = std::max(newest_, call.revision);
   }
 
   // A message from one machine to another: late, lost or cut off.
   void deliver(const NodeId& from, const NodeId& to, std::function<void()> work) {
-    deliver(from, to, std::nullopt, std::move(work));
-  }
-
-  void deliver(const NodeId& from, const NodeId& to, std::optional<Ask::Kind> kind,
-               std::function<void()> work) {
     if (from != to) {
       if (cuts_.contains(from) || cuts_.contains(to)) return;
       if (!healed_ && clock_.chance(number(s_, "loss", 0))) return;
     }
+    // link FROM TO BEGIN END MS: what is sent in that time takes so much longer; `lost`: never
+    // comes.
+    double extra = 0;
+    for (const auto* line : linesOf(s_, "link")) {
+      const auto& w = line->words;
+      if (w.at(1) != from.str() || w.at(2) != to.str()) continue;
+      if (clock_.ms() < std::stod(w.at(3)) || clock_.ms() >= std::stod(w.at(4))) continue;
+      if (w.at(5) == "lost") return;
+      extra = std::stod(w.at(5));
+    }
     const auto delays = linesOf(s_, "delay");
     const double low = delays.empty() ? 0.5 : std::stod(delays[0]->words.at(1));
     const double high = delays.empty() ? 3 : std::stod(delays[0]->words.at(2));
-    double wait = from == to ? 0 : clock_.uniform(low, high);
-    // slow FROM TO KIND MS: those messages take so much longer
-    static const char* const kinds[] = {"prepare", "accept", "rejoin", "fetch"};
-    for (const auto* line : linesOf(s_, "slow")) {
-      const auto& w = line->words;
-      const bool hit = kind && w.at(3) == kinds[static_cast<int>(*kind)];
-      if (hit && w.at(1) == from.str() && w.at(2) == to.str()) wait += std::stod(w.at(4));
-    }
+    double wait = from == to ? 0 : clock_.uniform(low, high) + extra;
     const double frozen = machine(to.str()).frozenUntil - clock_.ms();
     if (frozen > 0) wait += frozen;
     clock_.after(wait, std::move(work));
@@ -418,7 +461,10 @@
     } catch (const std::exception&) {
       return;  // it was wiped since it said which text it has: no answer
     }
-    const auto out = m.ledge->ask(ask);
+    // Faults of its own: nothing is told of lives, or only accepts name them.
+    if (fault("lifeless")) ask.lives.clear();
+    auto out = m.ledge->ask(ask);
+    if (fault("lifeless") || fault("untold")) out.reply.lives.clear();
     m.shelf.put(m.ledge->value().config);
     const int life = m.life;
     const auto state = m.ledge->save();
@@ -446,12 +492,13 @@
       if (!m.ledge || m.frozenUntil > clock_.ms()) continue;
       if (duties()) keepVoters(m);
       if (!m.ledge) continue;  // it has left
+      watchCatchUp(m);
       if (!m.ledge->awake()) {
         for (const auto& voter : m.known.voters) {
           if (voter == m.id) continue;
-          const auto ask = m.ledge->rejoinAsk(voter);
+          const auto ask = m.ledge->rejoinAsk();
           const int life = m.life;
-          deliver(m.id, voter, Ask::Kind::rejoin, [this, &m, voter, ask, life] {
+          deliver(m.id, voter, [this, &m, voter, ask, life] {
             answer(machine(voter.str()), *ask, [this, &m, voter, life](Reply r) {
               deliver(voter, m.id, [&m, voter, life, r] {
                 if (m.life != life || !m.ledge) return;
@@ -552,7 +599,6 @@
     const double now = clock_.ms();
     if (now - m.tickedAt > 1000) m.listening = now;
     m.tickedAt = now;
-    if (m.ledge->awake()) tellLife(m);
     const auto view = viewOf(m);
     const auto next = fault("oldrule") ? oldRule(view) : cairn::nextVoters(view);
     if (m.leaving >= 0) {
@@ -574,26 +620,6 @@
     }
   }
 
-  void tellLife(Machine& m) {
-    // A fault of its own: only those that were read before it woke know its
-    // life.
-    if (clock_.ms() < m.tellAt || fault("untold")) return;
-    m.tellAt = clock_.ms() + 2000;
-    const int life = m.life;
-    for (const auto& voter : m.known.voters) {
-      if (voter == m.id || m.lifeTold.contains(voter)) continue;
-      deliver(m.id, voter, [this, &m, voter, life, ask = m.ledge->lifeAsk(voter)] {
-        answer(machine(voter.str()), ask, [this, &m, voter, life](const Reply& reply) {
-          deliver(voter, m.id, [&m, voter, life, reply] {
-            if (m.life != life || !m.ledge) return;
-            if (reply.ok) m.lifeTold.insert(voter);
-            m.ledge->rejoinReply(voter, reply, m.known);
-          });
-        });
-      });
-    }
-  }
-
   void change(Machine& m, const std::vector<NodeId>& voters) {
     m.changing = true;
     auto call = std::make_shared<Call>();
@@ -872,6 +898,9 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<std::shared_ptr<Call>> calls_;
   std::set<NodeId> cuts_;
+  std::uint64_t ackedSequence_ = 0;
+  double boots_ = 0;
+  double slowest_ = 0;
   std::int64_t newest_ = 0;
   int digests_ = 0;
   bool healed_ = false;
