--- a/tests/world_register.cpp
+++ b/tests/world_register.cpp
@@ -1,5 +1,6 @@
-// The register under faults: voters with disks, proposers that may die, a network that delays and
-// loses. The history of calls is checked against one order of changes.
+// The register under faults: voters with disks, proposers that may die, a
+// network that delays and loses. The history of calls is checked against one
+// order of changes.
 #include <algorithm>
 #include <iomanip>
 #include <memory>
@@ -9,6 +10,7 @@
 #include "runner.hpp"
 #include "version/orders.hpp"
 #include "version/register.hpp"
+#include "version/voters.hpp"
 
 namespace merlin::test {
 
@@ -37,6 +39,22 @@
   std::uint64_t bootBehind = 0;  // what had been acknowledged by then
   cairn::Shelf shelf;
   double ahead = -1;
+  // What it knows of the others, where the voters are kept by duties.
+  struct Heard {
+    double at = -1;
+    double known = 0;
+    bool awake = false;
+    bool leaving = false;
+  };
+  std::map<NodeId, Heard> heard;
+  double tickedAt = 0;
+  double listening = 0;  // it stood still before that
+  std::uint64_t saves = 0;
+  std::uint64_t savedTo = 0;
+  double leaving = -1;  // told to stop then
+  double downFor = 0;   // and that long it will be away
+  bool changing = false;
+  double half = -1;  // a change of voters has been seen half done since
 };
 
 struct Call {
@@ -48,6 +66,7 @@
   std::uint64_t digest = 0;
   enum class End { open, ok, refused, unclear } end = End::open;
   Value seen;
+  std::function<void()> done;  // once it is known what is chosen
   std::function<void()> then;  // runs once it has ended
 };
 
@@ -70,14 +89,18 @@
  public:
   RegisterWorld(const Scenario& scenario, std::uint64_t seed) : s_(scenario), clock_(seed) {
     const int n = static_cast<int>(number(s_, "nodes", 5));
-    const int voters = static_cast<int>(number(s_, "voters", n));
+    // Those beyond `running` are machines that are started later.
+    running_ = static_cast<int>(number(s_, "running", n));
+    const int voters = static_cast<int>(number(s_, "voters", running_));
     for (int i = 1; i <= n; ++i) {
       auto machine = std::make_unique<Machine>();
       machine->id = NodeId("n" + std::to_string(i));
       if (i <= voters) first_.push_back(machine->id);
       machines_.push_back(std::move(machine));
     }
+    tolerance_ = static_cast<std::size_t>(number(s_, "tolerance", 0));
     for (auto& m : machines_) {
+      if (static_cast<int>(++started_) > running_) continue;
       m->known.voters = first_;
       m->ledge.emplace(m->id, cairn::firstLife(clock_.random()), true);
       m->disk = m->ledge->save();
@@ -106,14 +129,18 @@
       operator_.lost = std::stod(line->words.at(3));
       for (int i = 0; i < std::stoi(line->words.at(2)); ++i) nextOrder();
     }
+    for (const auto* line : linesOf(s_, "troubles")) {
+      clock_.after(2000, [this, left = std::stoi(line->words.at(1))] { trouble(left); });
+    }
     tick();
+    if (duties()) beat();
     clock_.runUntil(length);
     // Everything heals, and a last read must show it all.
     healed_ = true;
     for (auto& m : machines_) {
       m->hungUntil = m->frozenUntil = 0;
       m->full = false;
-      if (!m->ledge && !m->wiped) boot(*m);
+      if (!m->ledge && !m->wiped && m->disk) boot(*m);
     }
     cuts_.clear();
     clock_.runUntil(length + 3000);
@@ -132,7 +159,8 @@
     try {
       check();
     } catch (const Broken&) {
-      // The check itself is under test: it must see what a broken register does.
+      // The check itself is under test: it must see what a broken register
+      // does.
       if (linesOf(s_, "fault").empty()) throw;
       broken = 1;
     }
@@ -165,6 +193,7 @@
            {"awake", awake},
            {"voters", static_cast<double>(last->seen.voters.size())},
            {"epoch", static_cast<double>(last->seen.epoch)},
+           {"borne", static_cast<double>(borne_)},
            {"lives", lives},
            {"boots", boots_},
            {"behind", behind},
@@ -231,6 +260,13 @@
       } else if (what == "gone") {
         auto& m = machine(w.at(3));
         down(m, true, 1e9);
+      } else if (what == "start") {
+        boot(machine(w.at(3)));
+      } else if (what == "leave") {  // leave NODE MS-AWAY, 0: for good
+        leave(machine(w.at(3)), std::stod(w.at(4)));
+      } else if (what == "bear") {  // bear COUNT MS: so many are frozen, and an
+                                    // order is taken
+        bear(std::stoul(w.at(3)), std::stod(w.at(4)), "by hand");
       } else {
         throw Broken{"no such thing to do: " + what};
       }
@@ -257,8 +293,20 @@
   void boot(Machine& m) {
     ++m.life;
     m.known = Value{};
-    m.known.voters = first_;
+    if (!duties()) m.known.voters = first_;
     if (m.disk) m.ledge = Ledge::restore(m.id, *m.disk);
+    if (duties()) {
+      if (m.ledge) {
+        const auto& value = m.ledge->value();
+        m.known.epoch = value.epoch;
+        m.known.voters = value.epoch == 0 ? first_ : value.voters;
+        m.known.before = value.before;
+      }
+      m.heard.clear();
+      m.leaving = m.half = -1;
+      m.changing = false;
+      m.tickedAt = m.listening = clock_.ms();
+    }
     // A fault of its own: one that lost its disk votes as if nothing had been.
     if (!m.ledge) {
       m.ledge.emplace(m.id, cairn::laterLife(Life{}, clock_.random()), fault("forgetful"));
@@ -291,7 +339,8 @@
       startRead(m);
       return;
     }
-    // Operators build on what they last saw acknowledged, sometimes on something older.
+    // Operators build on what they last saw acknowledged, sometimes on
+    // something older.
     const std::int64_t base =
         clock_.chance(0.85) ? newest_ : std::max<std::int64_t>(0, newest_ - 2);
     startPut(m, {base, base + 1 + static_cast<std::int64_t>(clock_.random() % 3),
@@ -376,12 +425,15 @@
     return call;
   }
 
-  std::shared_ptr<Call> startPut(Machine& m, const Sent& sent) {
+  Order orderOf(const Sent& sent) const {
     const auto text = textOf(sent);
-    const Order order{
-        true, Revision{sent.base}, cairn::orderDigest(true, std::to_string(sent.base), text),
-        std::make_shared<const nlohmann::json>(nlohmann::json{{"revision", sent.revision}}),
-        cairn::Signboard::of(text)};
+    return {true, Revision{sent.base}, cairn::orderDigest(true, std::to_string(sent.base), text),
+            std::make_shared<const nlohmann::json>(nlohmann::json{{"revision", sent.revision}}),
+            cairn::Signboard::of(text)};
+  }
+
+  std::shared_ptr<Call> startPut(Machine& m, const Sent& sent) {
+    const auto order = orderOf(sent);
     auto call = std::make_shared<Call>();
     call->base = sent.base;
     call->revision = sent.revision;
@@ -417,8 +469,10 @@
     });
   }
 
-  void run(Machine& m, std::shared_ptr<Call> call, Climber::Change change) {
+  void run(Machine& m, std::shared_ptr<Call> call, Climber::Change change,
+           std::function<void()> done = {}) {
     if (!m.ledge) return;
+    call->done = std::move(done);
     call->began = clock_.ms();
     calls_.push_back(call);
     auto climber = std::make_shared<Climber>(m.id, m.ledge->basisOf(m.known), std::move(change),
@@ -447,7 +501,8 @@
             try {
               reply = cairn::replyFrom(nlohmann::json::parse(text), &m.shelf);
             } catch (const std::exception&) {
-              return;  // the text that it rests on has gone from the shelf since
+              return;  // the text that it rests on has gone from
+                       // the shelf since
             }
             keepOn(m.shelf, reply.value);
             carry(m, call, climber, climber->reply(send.to, send.round, reply, clock_.now()));
@@ -478,9 +533,11 @@
     const bool clear = answerFor(result.error).status < 500;
     call.end = result.ok ? Call::End::ok : clear ? Call::End::refused : Call::End::unclear;
     if (call.read) call.revision = result.chosen.configRevision.value;
+    if (call.done) clock_.after(0, std::exchange(call.done, {}));
     if (result.chosen.sequence > m.known.sequence) m.known = result.chosen;
     keepOn(m.shelf, m.known);
     m.ahead = -1;
+    m.half = -1;
     if (call.end == Call::End::ok) {
       ackedSequence_ = std::max(ackedSequence_, result.chosen.sequence);
     }
@@ -543,11 +600,19 @@
     keepOn(m.shelf, m.ledge->value());
     const int life = m.life;
     const auto state = m.ledge->save();
+    const auto order = ++m.saves;
     const double hung = std::max(0.0, m.hungUntil - clock_.ms());
-    clock_.after(hung + clock_.uniform(0.5, 2), [this, &m, life, state, out, back] {
+    clock_.after(hung + clock_.uniform(0.5, 2), [this, &m, life, state, order, out, back, ask] {
       if (m.life != life || m.full) return;
-      // A fault of its own: the reply doesn't wait for the disk, which gets it now and then.
-      if (!fault("unsynced") || clock_.chance(0.1)) m.disk = state;
+      // A fault of its own: the reply doesn't wait for the disk, which gets it
+      // now and then. The disk takes them in order: a save that is overtaken is
+      // part of the one before it.
+      const bool newer = order > m.savedTo;
+      if (newer && (!fault("unsynced") || clock_.chance(0.1))) {
+        m.disk = state;
+        m.savedTo = order;
+      }
+      if (duties() && ask.kind == Ask::Kind::accept && out.reply.ok) accepted(m, ask);
       back(out.reply);
     });
   }
@@ -557,10 +622,13 @@
     for (auto& owned : machines_) {
       auto& m = *owned;
       if (!m.ledge || m.frozenUntil > clock_.ms()) continue;
+      if (duties()) keepVoters(m);
+      if (!m.ledge) continue;  // it has left
       watchCatchUp(m);
-      if (const auto ask = m.ledge->rejoinAsk()) {
+      if (!m.ledge->awake()) {
         for (const auto& voter : m.known.voters) {
           if (voter == m.id) continue;
+          const auto ask = m.ledge->rejoinAsk();
           const int life = m.life;
           deliver(m.id, voter, [this, &m, voter, ask, life] {
             answer(machine(voter.str()), toJson(*ask).dump(), [this, &m, voter, life](Reply r) {
@@ -582,7 +650,331 @@
     clock_.after(number(s_, "tick", 100), [this] { tick(); });
   }
 
+  // ---- Voters kept by duties: each machine decides by its own view, right or
+  // wrong.
+
+  [[nodiscard]] bool duties() const { return tolerance_ > 0; }
+
+  // News: who is there, and the newest chosen value.
+  void beat() {
+    for (auto& from : machines_) {
+      if (!from->ledge || from->frozenUntil > clock_.ms()) continue;
+      for (auto& to : machines_) {
+        if (to == from) continue;
+        deliver(from->id, to->id,
+                [this, id = from->id, to = to.get(), awake = from->ledge->awake(),
+                 leaving = from->leaving >= 0, value = from->known] {
+                  if (!to->ledge) return;
+                  auto& heard = to->heard[id];
+                  if (heard.at < 0) heard.known = clock_.ms();
+                  heard.at = clock_.ms();
+                  heard.awake = awake;
+                  heard.leaving = leaving;
+                  if (value.sequence > to->known.sequence || to->known.voters.empty()) {
+                    to->known = value;
+                    to->shelf.put(value.config);
+                    to->half = to->ahead = -1;
+                  }
+                });
+      }
+    }
+    clock_.after(500, [this] { beat(); });
+  }
+
+  cairn::VoterView viewOf(const Machine& m) {
+    cairn::VoterView view{m.known.voters, {}, tolerance_};
+    const double now = clock_.ms();
+    const auto span = [&](double since) { return fromMillis(now - since); };
+    std::set<NodeId> all(m.known.voters.begin(), m.known.voters.end());
+    for (const auto& [id, heard] : m.heard) all.insert(id);
+    all.insert(m.id);
+    for (const auto& id : all) {
+      cairn::CoreView seen;
+      seen.id = id;
+      const auto it = m.heard.find(id);
+      if (id == m.id) {
+        seen.known = Span::max();
+        seen.heard = true;
+        seen.awake = m.ledge->awake();
+        seen.leaving = m.leaving >= 0;
+      } else if (it == m.heard.end()) {
+        seen.silent = span(m.listening);
+      } else {
+        seen.known = span(it->second.known);
+        seen.silent = span(std::max(it->second.at, m.listening));
+        seen.heard = span(it->second.at) <= cairn::kVoterGone;
+        seen.awake = it->second.awake;
+        seen.leaving = it->second.leaving;
+      }
+      view.machines.push_back(seen);
+    }
+    return view;
+  }
+
+  // The rule that is gone: newcomers are added first, and a dead one taken out
+  // after ten seconds.
+  static std::optional<std::vector<NodeId>> oldRule(const cairn::VoterView& view) {
+    auto next = view.voters;
+    for (const auto& seen : view.machines) {
+      if (!seen.heard || seen.leaving || seen.known < cairn::kNewcomerSettled) continue;
+      if (std::find(next.begin(), next.end(), seen.id) == next.end()) next.push_back(seen.id);
+    }
+    for (const auto& seen : view.machines) {
+      if (next != view.voters || next.size() <= cairn::fewestVoters(view.tolerance)) break;
+      if (seen.silent > cairn::kVoterLost) std::erase(next, seen.id);
+    }
+    std::sort(next.begin(), next.end());
+    return next == view.voters ? std::nullopt : std::make_optional(next);
+  }
+
+  void keepVoters(Machine& m) {
+    const double now = clock_.ms();
+    if (now - m.tickedAt > 1000) m.listening = now;
+    m.tickedAt = now;
+    const auto view = viewOf(m);
+    const auto next = fault("oldrule") ? oldRule(view) : cairn::nextVoters(view);
+    if (m.leaving >= 0) {
+      const bool needed = !m.known.before.empty() ||
+                          (next && std::find(next->begin(), next->end(), m.id) == next->end());
+      if (!needed || fault("oldrule") || now - m.leaving > 3000) {
+        down(m, m.downFor == 0, m.downFor == 0 ? 1e9 : m.downFor);
+        return;
+      }
+    }
+    if (!m.ledge->awake() || m.changing || m.known.voters.empty()) return;
+    if (!m.known.before.empty()) {
+      if (m.half < 0) m.half = now;
+      const auto& voters = m.known.voters;
+      const auto place = std::find(voters.begin(), voters.end(), m.id) - voters.begin();
+      if (now - m.half > 250 + 40.0 * static_cast<double>(place)) change(m, {});
+    } else if (m.leaving < 0 && next && cairn::holdsDuty(view, m.id)) {
+      change(m, *next);
+    }
+  }
+
+  void change(Machine& m, const std::vector<NodeId>& voters) {
+    m.changing = true;
+    auto call = std::make_shared<Call>();
+    call->read = true;
+    const int life = m.life;
+    clock_.after(1000, [&m, life] {
+      if (m.life == life) m.changing = false;
+    });
+    run(
+        m, call,
+        [this, epoch = m.known.epoch, voters](const Value& current, Value& next) {
+          Climber::Verdict verdict;
+          if (current.epoch != epoch || current.before.empty() == voters.empty()) return verdict;
+          verdict.kind = Climber::Verdict::Kind::put;
+          next.epoch = current.epoch + 1;
+          next.before = current.before.empty() ? current.voters : std::vector<NodeId>{};
+          // A fault of its own: the new voters take over without the old ones.
+          if (fault("onemajority")) next.before.clear();
+          if (!voters.empty()) next.voters = voters;
+          return verdict;
+        },
+        [&m, this] {
+          m.changing = false;
+          if (!m.known.before.empty() && m.ledge && !m.changing) change(m, {});
+        });
+  }
+
+  void leave(Machine& m, double downFor) {
+    if (!m.ledge) return;
+    m.leaving = clock_.ms();
+    m.downFor = downFor;
+  }
+
+  // ---- The invariant, checked with every acceptance.
+
+  void problem(const std::string& what) {
+    if (problems_.size() < 5) {
+      problems_.push_back(what + " (at " + std::to_string(static_cast<int>(clock_.ms())) + " ms)");
+    }
+  }
+
+  static bool chosenBy(const Value& value, const std::set<NodeId>& have) {
+    return cairn::majority(value.voters, have) &&
+           (value.before.empty() || cairn::majority(value.before, have));
+  }
+
+  // Does each majority of one set meet each of the other?
+  static bool meet(const std::vector<NodeId>& a, const std::vector<NodeId>& b) {
+    std::size_t common = 0;
+    for (const auto& node : a) common += std::find(b.begin(), b.end(), node) != b.end() ? 1 : 0;
+    const auto least = [common](const std::vector<NodeId>& set) {
+      const std::size_t apart = set.size() - common;
+      const std::size_t most = set.size() / 2 + 1;
+      return most > apart ? most - apart : 0;
+    };
+    return least(a) + least(b) > common;
+  }
+
+  static bool quorumsMeet(const Value& a, const Value& b) {
+    for (const auto* x : {&a.voters, &a.before}) {
+      for (const auto* y : {&b.voters, &b.before}) {
+        if (!x->empty() && !y->empty() && meet(*x, *y)) return true;
+      }
+    }
+    return false;
+  }
+
+  void accepted(const Machine& m, const Ask& ask) {
+    auto& [value, have] = acceptances_[ask.ballot];
+    value = ask.value;
+    have.insert(m.id);
+    if (!chosenBy(value, have)) return;
+    const auto [it, fresh] = chosen_.try_emplace(value.sequence, value);
+    if (it->second.stamp != value.stamp) problem("two values chosen under one sequence");
+    if (fresh && value.sequence > 1) {
+      const auto before = chosen_.find(value.sequence - 1);
+      if (before != chosen_.end() && !quorumsMeet(before->second, value)) {
+        problem("two quorums of adjacent sets need not meet");
+      }
+    }
+    const std::size_t fewest = cairn::fewestVoters(tolerance_);
+    grown_ = grown_ || value.voters.size() >= fewest;
+    if (grown_ && value.voters.size() < fewest) problem("fewer than 2f + 1 voters");
+    held();
+  }
+
+  // The newest chosen value is on a majority of the disks of its voters, but
+  // for those lost since.
+  void held() {
+    if (chosen_.empty()) return;
+    const auto& newest = chosen_.rbegin()->second;
+    for (const auto* set : {&newest.voters, &newest.before}) {
+      if (set->empty()) continue;
+      std::size_t holders = 0;
+      std::size_t lost = 0;
+      for (const auto& id : *set) {
+        const auto& m = machine(id.str());
+        const auto saved = m.disk ? Ledge::restore(id, *m.disk) : std::nullopt;
+        if (!saved || !saved->awake()) {
+          ++lost;
+        } else if (saved->value().sequence >= newest.sequence) {
+          ++holders;
+        }
+      }
+      if (holders == 0 || holders + lost < set->size() / 2 + 1) {
+        problem("a chosen value is on " + std::to_string(holders) + " disks of " +
+                std::to_string(set->size()) + " voters");
+      }
+    }
+  }
+
+  // ---- Troubles, one after the other, never more than may be lost at once.
+
+  std::vector<Machine*> running() {
+    std::vector<Machine*> out;
+    for (auto& m : machines_) {
+      if (m->ledge && m->leaving < 0) out.push_back(m.get());
+    }
+    std::shuffle(out.begin(), out.end(), clock_.random);
+    return out;
+  }
+
+  Machine* unused() {
+    if (running_ >= static_cast<int>(machines_.size())) return nullptr;
+    return machines_[static_cast<std::size_t>(running_++)].get();
+  }
+
+  void trouble(int left) {
+    if (left == 0) return;
+    const auto some = running();
+    const std::size_t many = 1 + clock_.random() % tolerance_;
+    double over = 0;  // when the last of them is back, from now
+    std::string what;
+    for (std::size_t i = 0; i < many; ++i) {
+      auto& m = *some.at(i);
+      const double at = clock_.uniform(0, 300);
+      const auto kind = clock_.random() % 6;
+      Machine* other = kind < 2 ? unused() : nullptr;
+      if (other != nullptr && kind == 0) {  // gone for good, its successor starts a little later
+        const double gap = clock_.uniform(300, 1500);
+        what += " replace " + m.id.str();
+        clock_.after(at, [this, &m] { down(m, true, 1e9); });
+        clock_.after(at + gap, [this, other] { boot(*other); });
+        if (clock_.chance(0.3)) {  // it loses its disk while joining
+          clock_.after(at + gap + 200, [this, other] { down(*other, true, 200); });
+        }
+        over = std::max(over, at + gap + 400);
+      } else if (other != nullptr) {  // planned: the new one first
+        what += " planned " + m.id.str();
+        clock_.after(at, [this, other] { boot(*other); });
+        clock_.after(at + 3000, [this, &m] { leave(m, 0); });
+        over = std::max(over, at + 3000);
+      } else if (kind == 2) {
+        what += " wipe " + m.id.str();
+        const double away = clock_.uniform(100, 2000);
+        clock_.after(at, [this, &m, away] { down(m, true, away); });
+        over = std::max(over, at + away);
+      } else if (kind == 3) {
+        what += " roll " + m.id.str();
+        const double away = clock_.uniform(300, 4000);
+        clock_.after(at, [this, &m, away] { leave(m, away); });
+        over = std::max(over, at + 3000 + away);
+      } else if (kind == 4) {
+        what += " freeze " + m.id.str();
+        const double away = clock_.uniform(1000, 14000);
+        clock_.after(at, [this, &m, away] { m.frozenUntil = clock_.ms() + away; });
+        over = std::max(over, at + away);
+      } else {
+        what += " cut " + m.id.str();
+        const double away = clock_.uniform(1000, 20000);
+        clock_.after(at, [this, &m, away] {
+          cuts_.insert(m.id);
+          clock_.after(away, [this, &m] { cuts_.erase(m.id); });
+        });
+        over = std::max(over, at + away);
+      }
+    }
+    const double catchUp = number(s_, "catch_up", 4000);
+    clock_.after(over + catchUp, [this, what, left, catchUp] {
+      bear(tolerance_, 2000, what);
+      clock_.after(2000 + catchUp, [this, left] { trouble(left - 1); });
+    });
+  }
+
+  // So many more are frozen, and an order must be taken meanwhile.
+  void bear(std::size_t count, double forMs, const std::string& after) {
+    auto some = running();
+    for (std::size_t i = 0; i < count; ++i) some.at(i)->frozenUntil = clock_.ms() + forMs;
+    const auto calls = std::make_shared<std::vector<std::shared_ptr<Call>>>();
+    for (int i = 0; i < 3; ++i) {
+      auto& through = *some.at(count + static_cast<std::size_t>(i) % (some.size() - count));
+      clock_.after(50 + i * 500, [this, &through, calls] { calls->push_back(append(through)); });
+    }
+    ++borne_;
+    clock_.after(forMs - 1, [this, calls, after] {
+      const bool taken = std::any_of(calls->begin(), calls->end(),
+                                     [](const auto& c) { return c->end == Call::End::ok; });
+      if (!taken) problem("no order taken with f more lost, after" + after);
+    });
+  }
+
+  // An order on whatever is in place.
+  std::shared_ptr<Call> append(Machine& m) {
+    auto call = std::make_shared<Call>();
+    Sent sent{0, 0, "a" + std::to_string(++names_)};
+    run(m, call, [this, call, sent](const Value& current, Value& next) mutable {
+      if (call->digest != 0 && current.history &&
+          current.history->holds({Revision{call->revision}, call->digest})) {
+        return Climber::Verdict{};
+      }
+      sent.base = current.configRevision.value;
+      sent.revision = sent.base + 1;
+      const auto order = orderOf(sent);
+      call->base = sent.base;
+      call->revision = sent.revision;
+      call->digest = order.digest;
+      return decide(order, {}, current, next);
+    });
+    return call;
+  }
+
   void check() {
+    require(problems_.empty(), problems_.empty() ? "" : problems_.front());
     std::map<std::string, double> acked;  // digest -> when acknowledged
     for (const auto& a : calls_) {
       if (a->read || a->end != Call::End::ok) continue;
@@ -655,6 +1047,14 @@
   std::map<std::int64_t, std::uint64_t> inForce_;  // revision -> order
   std::map<std::uint64_t, std::int64_t> builtOn_;  // order -> revision
   bool healed_ = false;
+  int running_ = 0;
+  std::size_t started_ = 0;
+  std::size_t tolerance_ = 0;
+  std::map<cairn::Ballot, std::pair<Value, std::set<NodeId>>> acceptances_;
+  std::map<std::uint64_t, Value> chosen_;  // by sequence
+  std::vector<std::string> problems_;
+  bool grown_ = false;
+  int borne_ = 0;
 };
 
 }  // namespace
