Documents that nest too deep, ids that are no text, texts that inflate without end are refused

Each ended a core node, or could: a Configuration.Update of 2 MB that nests a million levels (SIGSEGV, copying it overruns the stack), a heartbeat to an id with bytes above 0x7f (exit 70: no document can hold it, so the next one written throws), a packed text of kilobytes that stands for gigabytes. Seen with the program as it stood for the first two; the third by reading. All documents from outside go through one reader now.

--- a/src/process/office.cpp
+++ b/src/process/office.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/SHA1Engine.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -129,6 +130,8 @@
       return;
     }
     const auto id = call.tail ? path.substr(prefix.size()) : "";
+    // It goes into documents, which hold UTF-8 only.
+    if (!std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < '\x7f'; })) break;
     whenWhole(visit, [run = call.run, id](const std::string& body) { run(id, body); });
     return;
   }
@@ -136,11 +139,12 @@
 }
 
 void Office::heartbeat(const Visit::Ptr& visit, const std::string& id, const std::string& body) {
-  const auto document = json::parse(body, nullptr, false);
-  if (document.is_discarded()) {
+  const auto read = cairn::readDocument(body);
+  if (!read) {
     visit->fail(ErrorKind::badJson);
     return;
   }
+  const auto& document = *read;
   if (auto problem = cairn::schemaProblem(cairn::SchemaKind::heartbeat, document);
       !problem.empty()) {
     visit->fail(ErrorKind::badJson, problem);
@@ -197,11 +201,12 @@
 }
 
 void Office::change(const Visit::Ptr& visit, const std::string& body, bool whole) {
-  auto document = std::make_shared<json>(json::parse(body, nullptr, false));
-  if (document->is_discarded()) {
+  auto asked = cairn::readDocument(body);
+  if (!asked) {
     visit->fail(ErrorKind::invalidConfig, "the body can't be read whole");
     return;
   }
+  auto document = std::make_shared<json>(std::move(*asked));
   const auto baseText = visit->request.get("Base-Revision", "");
   Revision base;
   const auto read = std::from_chars(baseText.data(), baseText.data() + baseText.size(), base.value);
--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include "version/schema.hpp"
+
 namespace merlin::hut {
 
 using cairn::Server;
@@ -202,10 +204,11 @@
       wire_.answered(text.size());
       visit->answer(200, "OK", text, "application/json");
     };
-    const auto document = json::parse(body, nullptr, false);
+    const auto read = cairn::readDocument(body);
     const auto& path = visit->request.getURI();
     try {
-      if (document.is_discarded()) throw std::runtime_error("no JSON");
+      if (!read) throw std::runtime_error("no JSON");
+      const auto& document = *read;
       if (path == "/news") {
         roster_->serve(document, reply);
         return;
@@ -240,7 +243,9 @@
   // A node that carries no traffic needs the text only.
   if (value.config && egress_ && (!chart_ || value.revision() > chart_->revision())) {
     // It has passed the schema where it was taken.
-    auto read = cairn::Chart::read(json::parse(value.config->text()), false);
+    const auto document = cairn::readDocument(value.config->text());
+    auto read = document ? cairn::Chart::read(*document, false)
+                         : cairn::Chart::Read{nullptr, "not a document"};
     if (read.chart) {
       chart_ = read.chart;
       applyLimits();
--- a/src/process/wire.cpp
+++ b/src/process/wire.cpp
@@ -5,6 +5,8 @@
 #include <memory>
 #include <utility>
 
+#include "version/schema.hpp"
+
 namespace merlin::hut {
 
 using nlohmann::json;
@@ -98,8 +100,7 @@
       return;
     }
     traffic_.toldBytes += raw->body.size();
-    auto parsed = json::parse(raw->body, nullptr, false);
-    answer(parsed.is_discarded() ? std::nullopt : std::make_optional(std::move(parsed)));
+    answer(cairn::readDocument(raw->body));
   });
 }
 
--- a/src/version/schema.cpp
+++ b/src/version/schema.cpp
@@ -130,8 +130,35 @@
   return *slot;
 }
 
+constexpr int kDeepest = 32;
+
+bool tooDeep(std::string_view text) {
+  int depth = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (quoted) {
+      i += c == '\\' ? 1 : 0;
+      quoted = c != '"';
+    } else if (c == '"') {
+      quoted = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kDeepest) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
 }  // namespace
 
+std::optional<nlohmann::json> readDocument(std::string_view text) {
+  if (tooDeep(text)) return std::nullopt;
+  auto document = nlohmann::json::parse(text, nullptr, false);
+  if (document.is_discarded()) return std::nullopt;
+  return document;
+}
+
 std::string schemaProblem(SchemaKind kind, const nlohmann::json& document) {
   valijson::Validator validator(valijson::Validator::kStrongTypes);
   valijson::ValidationResults results;
--- a/src/version/signboard.cpp
+++ b/src/version/signboard.cpp
@@ -5,9 +5,9 @@
 #include <Poco/DeflatingStream.h>
 #include <Poco/Exception.h>
 #include <Poco/InflatingStream.h>
-#include <Poco/StreamCopier.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <sstream>
 #include <unordered_map>
@@ -67,8 +67,13 @@
     std::istringstream in(packed);
     Poco::Base64Decoder letters(in);
     Poco::InflatingInputStream inflater(letters, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    // Some kilobytes may stand for gigabytes.
     std::string text;
-    Poco::StreamCopier::copyToString(inflater, text);
+    std::array<char, 16384> part{};
+    while (inflater.read(part.data(), part.size()) || inflater.gcount() > 0) {
+      text.append(part.data(), static_cast<std::size_t>(inflater.gcount()));
+      if (text.size() > kMostText) return nullptr;
+    }
     auto board = of(std::move(text));
     if (board->id() != id) return nullptr;
     board->packed_ = packed;
--- a/tests/ending.cpp
+++ b/tests/ending.cpp
@@ -254,6 +254,29 @@
   frozen("egress", front, at(front, kEgress));
   frozen("ingress", backs[2], at(front, kEgress));
   require(mesh.stop(front, SIGTERM) == 0, "the egress ends in order");
+
+  // Documents that nest a million deep, a server whose name is no text.
+  const std::string deep = std::string(1000000, '[') + std::string(1000000, ']');
+  const auto refused = [&](int port, const std::string& path, const std::string& text) {
+    const int status =
+        call(at(cores[0], port), "POST", path, {{"Base-Revision", "3"}}, text).status;
+    require(status >= 400 && status < 500, path.substr(0, 26) + ": refused");
+  };
+  const auto rule = routes["route_rules"][0].dump();
+  const auto deepRule = rule.substr(0, rule.size() - 1) + ",\"x\":" + deep + "}";
+  refused(kInner, "/news", R"({"f":"x","s":0,"w":0,"d":0,"h":0,"i":)" + deep + "}");
+  refused(kInner, "/register", R"({"k":0,"v":)" + deep + "}");
+  refused(kControl, "/v1/Configuration.Update",
+          R"({"revision":4,"upserts":{"route_rules":[)" + deepRule + "]}}");
+  refused(kControl, "/v1/Configuration.Replace",
+          R"({"revision":4,"services":[{"name":"echo"}],"route_rules":[)" + deepRule + "]}");
+  refused(kControl, "/v1/Instances.Heartbeat/a\xff",
+          R"({"address":"127.96.0.99:1","node_info":{"target_service":"echo","capacity":1},)"
+          R"("status_detail":{"status":"available","sequence":1}})");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  for (const auto& ip : cores) {
+    require(mesh.stop(ip, SIGTERM) == 0, "a core has lived through them all");
+  }
 }
 
 }  // namespace
--- a/tests/hostile.cpp
+++ b/tests/hostile.cpp
@@ -525,6 +525,9 @@
     news(seed, heard, refused);
     registers(seed, heard, refused);
   }
+  // A few kilobytes that stand for more than any configuration.
+  const auto bomb = cairn::Signboard::of(std::string(70U << 20, 'x'));
+  if (cairn::Signboard::unpack(bomb->packed(), bomb->id())) ++wrong;
   std::cout << "messages of nodes: " << heard << " read, " << refused << " refused\n";
   return wrong == 0 && refused > 0 && refused < heard * 3 ? 0 : 1;
 }
