Runs side by side take networks of their own; long answers are long enough to be cut while they stream

With 80 kB of answer, half of it was less than the egress holds, and no cut reached a client: the mutant that makes cuts look whole was not found.

--- a/tests/house.hpp
+++ b/tests/house.hpp
@@ -22,11 +22,26 @@
 enum class Where : std::uint8_t { client, ingress, server };
 constexpr std::array<const char*, 3> kWhereNames = {"client", "ingress", "server"};
 
+// Runs side by side stay apart: each takes the first network that nobody holds.
+inline unsigned network() {
+  static Poco::Net::ServerSocket held;
+  static const unsigned taken = [] {
+    for (unsigned n = static_cast<unsigned>(::getpid()) % 100;; ++n) {
+      try {
+        held.bind({"127." + std::to_string(100 + n % 100) + ".255.254", kWayIn});
+        held.listen();
+        return 100 + n % 100;
+      } catch (const Poco::Exception&) {
+        held = Poco::Net::ServerSocket();
+      }
+    }
+  }();
+  return taken;
+}
+
 inline SocketAddress addressOf(std::size_t number, int which, std::uint16_t port) {
-  // Runs side by side stay apart.
-  const auto run = 100 + static_cast<unsigned>(::getpid()) % 100;
   const auto host = number * 2 + static_cast<std::size_t>(which);
-  return {"127." + std::to_string(run) + "." + std::to_string(host / 250) + "." +
+  return {"127." + std::to_string(network()) + "." + std::to_string(host / 250) + "." +
               std::to_string(1 + host % 250),
           port};
 }
--- a/tests/stage.hpp
+++ b/tests/stage.hpp
@@ -263,7 +263,7 @@
   return out;
 }
 constexpr std::size_t kSmall = 300;
-constexpr std::size_t kBig = 80000;  // streamed by the egress, not held
+constexpr std::size_t kBig = 150000;  // half of it is more than the egress holds: it streams
 inline std::string requestBody(const std::string& id) { return filled("ask " + id, 64); }
 inline std::string answerBody(const std::string& id, bool big) {
   return filled(id, big ? kBig : kSmall);
