A silent node's answer stays owed; what may run twice goes to another beside it

Cause (code): after 150 ms without a sign an egress closed the connection to the node beside the server and, with no budget, candidate or try left, answered 502 in the server's place, also where that node was only slow and its server was at work by then. Now the try stays out till the deadline. What may run twice goes to a second node if the budget pays for it, and the first whole answer wins. A loser that shows life ends its run, one that is silent is called back, and a node that goes on again doesn't pass on what its caller has closed.

--- a/src/connection/guest.cpp
+++ b/src/connection/guest.cpp
@@ -120,6 +120,11 @@
   if (guest && !over_ && !headSent_) write("HTTP/1.1 102 Processing\r\n\r\n");
 }
 
+bool Visit::abandoned() const {
+  const auto guest = guest_.lock();
+  return !guest || over_ || guest->rope_->closedByPeer();
+}
+
 void Visit::takenBody(std::size_t held) {
   const auto guest = guest_.lock();
   if (!guest || over_) return;
--- a/src/connection/guest.hpp
+++ b/src/connection/guest.hpp
@@ -57,6 +57,9 @@
   void fail(ErrorKind kind, const std::string& detail = "", const Extra& extra = {});
   // An interim answer: taken, and being worked on.
   void processing();
+  // The caller has closed its connection, and the loop hasn't come to it yet. A process that stood
+  // still finds the request and its end in the socket together.
+  [[nodiscard]] bool abandoned() const;
   void takenBody(std::size_t held);  // back-pressure: the owner still holds this much
 
   [[nodiscard]] bool headSent() const { return headSent_; }
--- a/src/connection/rope.cpp
+++ b/src/connection/rope.cpp
@@ -144,6 +144,16 @@
   }
 }
 
+bool Rope::closedByPeer() {
+  if (state_ != State::open) return true;
+  char byte = 0;
+  try {
+    return socket_.receiveBytes(&byte, 1, MSG_PEEK) == 0;
+  } catch (const Poco::Exception&) {
+    return true;
+  }
+}
+
 void Rope::write(std::string_view bytes) {
   if (state_ == State::gone || state_ == State::finishing) return;
   out_.append(bytes);
--- a/src/connection/rope.hpp
+++ b/src/connection/rope.hpp
@@ -38,6 +38,8 @@
   void read(bool on);
   // Looks at the socket itself: is it still quiet and open?
   [[nodiscard]] bool quiet();
+  // Looks at the socket itself: has the other side closed behind what it sent?
+  [[nodiscard]] bool closedByPeer();
 
   [[nodiscard]] bool opened() const { return state_ == State::open; }
   [[nodiscard]] bool gone() const { return state_ == State::gone; }
--- a/src/request/ascent.cpp
+++ b/src/request/ascent.cpp
@@ -46,8 +46,18 @@
   return std::find(full_.begin(), full_.end(), id) != full_.end();
 }
 
+// Some try is out that has shown no weakness: its answer is awaited before anything else is done.
+bool Ascent::inHand() const {
+  return std::any_of(out_.begin(), out_.end(), [](const Out& out) { return !out.silent; });
+}
+
 Step Ascent::giveUp(ErrorKind kind) const {
   Step step;
+  // Nothing of our own is answered while a server may be at work on it.
+  if (!out_.empty()) {
+    step.what = Step::Do::wait;
+    return step;
+  }
   // Once a server may have run it, no answer may promise that it has not.
   step.error = anyRun_ ? ErrorKind::maybeRun : kind;
   return step;
@@ -88,43 +98,81 @@
   step.what = Step::Do::send;
   step.to = from[choice.index];
   step.mayWait = mayWait;
-  last_ = *step.to.id;
-  lastMayWait_ = mayWait;
+  out_.push_back({*step.to.id, mayWait, false});
   ++arrivals_;
   return step;
 }
 
 Step Ascent::after(Outcome outcome, Instant now) {
+  return out_.empty() ? giveUp(ErrorKind::noServer) : after(out_.back().id, outcome, now);
+}
+
+Step Ascent::after(const InstanceId& at, Outcome outcome, Instant now) {
+  const auto it =
+      std::find_if(out_.begin(), out_.end(), [&](const Out& out) { return out.id == at; });
+  if (it == out_.end()) return giveUp(ErrorKind::noServer);
+  const Out tried = *it;
+  out_.erase(it);
+  bool arrived = false;
+  ErrorKind without = anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer;
   switch (outcome) {
     case Outcome::full:
       --arrivals_;
       anyFull_ = true;
+      without = ErrorKind::overloaded;
       // One that refused even to queue it is out of the question.
-      (lastMayWait_ ? avoid_ : full_).push_back(last_);
-      queueRefusals_ += lastMayWait_ ? 1 : 0;
+      (tried.mayWait ? avoid_ : full_).push_back(tried.id);
+      queueRefusals_ += tried.mayWait ? 1 : 0;
       break;
     case Outcome::notThere:
     case Outcome::unreachable:
       --arrivals_;
-      avoid_.push_back(last_);
+      avoid_.push_back(tried.id);
       break;
     case Outcome::turnedAway:
-      avoid_.push_back(last_);
-      if (arrivals_ >= terms_.maxAttempts || !toll_.repeat(terms_.service, now)) {
-        return giveUp(ErrorKind::overloaded);
-      }
+      avoid_.push_back(tried.id);
+      arrived = true;
+      without = ErrorKind::overloaded;
       break;
     case Outcome::maybeRun:
       anyRun_ = true;
-      avoid_.push_back(last_);
-      if (!terms_.idempotent || arrivals_ >= terms_.maxAttempts ||
-          !toll_.repeat(terms_.service, now)) {
-        return giveUp(ErrorKind::maybeRun);
-      }
+      avoid_.push_back(tried.id);
+      arrived = true;
+      without = ErrorKind::maybeRun;
+      if (!terms_.idempotent) return giveUp(without);
       break;
   }
-  if (!terms_.replayable) return giveUp(anyFull_ ? ErrorKind::overloaded : ErrorKind::noServer);
+  if (inHand() || !terms_.replayable) return giveUp(without);
+  if (arrived && (arrivals_ >= terms_.maxAttempts || !toll_.repeat(terms_.service, now))) {
+    return giveUp(without);
+  }
   return next(now);
 }
 
+void Ascent::sign(const InstanceId& at) {
+  for (auto& out : out_) {
+    if (out.id == at) out.silent = false;
+  }
+}
+
+Step Ascent::silent(const InstanceId& at, Instant now) {
+  for (auto& out : out_) {
+    if (out.id == at) out.silent = true;
+  }
+  Step stay;
+  stay.what = Step::Do::wait;
+  if (!terms_.idempotent || !terms_.replayable || inHand() || arrivals_ >= terms_.maxAttempts) {
+    return stay;
+  }
+  avoid_.push_back(at);
+  const auto step = next(now);
+  if (step.what != Step::Do::send) return stay;
+  if (!toll_.repeat(terms_.service, now)) {
+    --arrivals_;
+    out_.pop_back();
+    return stay;
+  }
+  return step;
+}
+
 }  // namespace merlin::trail
--- a/src/request/ascent.hpp
+++ b/src/request/ascent.hpp
@@ -43,7 +43,8 @@
 };
 
 struct Step {
-  enum class Do : std::uint8_t { send, answer };
+  // wait: another try is out, and its answer is still owed.
+  enum class Do : std::uint8_t { send, wait, answer };
   Do what = Do::answer;
   Candidate to;
   bool mayWait = false;
@@ -56,13 +57,26 @@
   Ascent(Terms terms, Candidates candidates, Wayfinder& wayfinder, Toll& toll);
 
   Step begin(Instant now);
+  // What became of the try at `at`; without one, of the newest.
+  Step after(const InstanceId& at, Outcome outcome, Instant now);
   Step after(Outcome outcome, Instant now);
+  // The try at `at` shows no sign of life. It stays out, for its answer is owed; whether another
+  // goes out beside it is the retry budget's to say.
+  Step silent(const InstanceId& at, Instant now);
+  void sign(const InstanceId& at);
   void bodyLost() { terms_.replayable = false; }
   // The deadline passed while a try was out.
   [[nodiscard]] ErrorKind atDeadline(bool sent) const;
 
  private:
+  // A try that is out.
+  struct Out {
+    InstanceId id;
+    bool mayWait = false;
+    bool silent = false;
+  };
   Step next(Instant now);
+  [[nodiscard]] bool inHand() const;
   [[nodiscard]] bool avoids(const InstanceId& id) const;
   [[nodiscard]] bool knownFull(const InstanceId& id) const;
   Step giveUp(ErrorKind kind) const;
@@ -73,11 +87,10 @@
   Toll& toll_;
   std::vector<InstanceId> avoid_;  // can't be had for this request
   std::vector<InstanceId> full_;   // had no free slot
-  InstanceId last_;
+  std::vector<Out> out_;
   int arrivals_ = 0;  // servers that may have seen it
   int hops_ = 0;
   int queueRefusals_ = 0;
-  bool lastMayWait_ = false;
   bool anyRun_ = false;
   bool anyFull_ = false;
 };
--- a/src/request/egress.cpp
+++ b/src/request/egress.cpp
@@ -81,6 +81,21 @@
   }
 
  private:
+  // One try of the request at one server.
+  struct Try {
+    InstanceId at;
+    Call::Ptr call;
+    hut::Bell::TimerId lifeTimer = 0;
+    std::string held;
+    std::unique_ptr<HTTPResponse> response;
+    BodyPlan plan;
+    Reading reading;
+    bool answered = false;
+    bool silent = false;  // has shown no sign of life for too long
+    bool counted = false;
+  };
+  using TryPtr = std::shared_ptr<Try>;
+
   void takeBody() {
     body_.append(visit_->body);
     visit_->body.clear();
@@ -89,29 +104,37 @@
   void moreBody() {
     const auto had = body_.size();
     takeBody();
-    if (call_ && !answered_) {
-      call_->body(std::string_view(body_).substr(had));
-      if (visit_->bodyDone) call_->bodyEnd();
+    for (const auto& one : tries_) {
+      if (one->answered) continue;
+      one->call->body(std::string_view(body_).substr(had));
+      if (visit_->bodyDone) one->call->bodyEnd();
     }
     if (replayable_ && body_.size() > kReplayLimit) {
       replayable_ = false;
       ascent_->bodyLost();
     }
-    if (!replayable_ && call_) body_.clear();
-    visit_->takenBody(call_ ? call_->unsent() : body_.size());
+    if (!replayable_ && !tries_.empty()) body_.clear();
+    std::size_t unsent = tries_.empty() ? body_.size() : 0;
+    for (const auto& one : tries_) unsent = std::max(unsent, one->call->unsent());
+    visit_->takenBody(unsent);
   }
 
   void pace() {
-    if (call_ && streaming_) call_->pause(visit_->unsent() > kPauseAbove);
+    if (streaming_) streaming_->call->pause(visit_->unsent() > kPauseAbove);
   }
 
   void carryOut(const Step& step) {
     if (over_) return;
-    if (step.what == Step::Do::answer) {
-      refuse(step.error);
-      return;
+    switch (step.what) {
+      case Step::Do::answer:
+        refuse(step.error);
+        break;
+      case Step::Do::send:
+        send(step);
+        break;
+      case Step::Do::wait:
+        break;
     }
-    send(step);
   }
 
   void send(const Step& step) {
@@ -119,146 +142,150 @@
     const Instant now = parts.bell.now();
     const auto& peak = Range::peak(step.to);
     const auto& approach = *parts.approach;
-    at_ = peak.id;
+    const auto one = std::make_shared<Try>();
+    one->at = peak.id;
     ++egress_.counts_.hops;
     HTTPRequest request(visit_->request.getMethod(), visit_->request.getURI(),
                         HTTPMessage::HTTP_1_1);
     saddle::copyHeaders(visit_->request, request, hop::dropAtEgress);
     request.set("Deadline-Ms",
                 std::to_string(std::max<std::int64_t>(1, (deadline_ - now).count() / 1000)));
-    request.set("Expected-Instance", at_.str());
+    request.set("Expected-Instance", one->at.str());
     if (!parts.callerService.empty()) request.set("Caller-Service", parts.callerService.str());
-    approach.dress({at_, rank_, step.mayWait, !idempotent_, target_ - now}, request);
+    approach.dress({one->at, rank_, step.mayWait, !idempotent_, target_ - now}, request);
     saddle::planHeaders(visit_->plan, visit_->request, request);
-    answered_ = false;
-    held_.clear();
-    egress_.loads_.began(at_, now);
-    counted_ = true;
+    egress_.loads_.began(one->at, now);
+    one->counted = true;
     const Span once = parts.gateway ? kFreshOnceDirect : kFreshOnce;
     const Span fresh = egress_.freshness_.limit(service_, idempotent_ ? kFreshSafe : once, now);
-    call_ = parts.ropes.call(peak.at, request, visit_->plan.kind, fresh, peak.life);
+    one->call = parts.ropes.call(peak.at, request, visit_->plan.kind, fresh, peak.life);
+    tries_.push_back(one);
+    auto& call = *one->call;
     const auto self = shared_from_this();
-    call_->onHead = [self](HTTPResponse& response, const BodyPlan& plan) {
-      self->answerHead(response, plan);
+    call.onHead = [self, one](HTTPResponse& response, const BodyPlan& plan) {
+      self->answerHead(*one, response, plan);
     };
-    call_->onInterim = [self] { self->signOfLife(); };
-    call_->onBody = [self](std::string& bytes) { self->answerBody(bytes); };
-    call_->onDone = [self] { self->answerDone(); };
-    call_->onFail = [self](Call::Failure failure) { self->callFailed(failure); };
-    call_->onDrain = [self] {
+    call.onInterim = [self, one] { self->signOfLife(*one); };
+    call.onBody = [self, one](std::string& bytes) { self->answerBody(one, bytes); };
+    call.onDone = [self, one] { self->answerDone(one); };
+    call.onFail = [self, one](Call::Failure failure) { self->callFailed(one, failure); };
+    call.onDrain = [self] {
       if (!self->over_) self->visit_->takenBody(0);
     };
-    call_->body(body_);
-    if (visit_->bodyDone) call_->bodyEnd();
+    call.body(body_);
+    if (visit_->bodyDone) call.bodyEnd();
     if (!replayable_) body_.clear();
-    signOfLife();
     if (!approach.givesSign()) return;
-    lifeTimer_ = parts.bell.after(kSignOfLife, [self] {
-      self->lifeTimer_ = 0;
-      self->noSignOfLife();
+    one->lifeTimer = parts.bell.after(kSignOfLife, [self, one] {
+      one->lifeTimer = 0;
+      self->noSignOfLife(*one);
     });
   }
 
-  void signOfLife() {
-    egress_.parts_.bell.cancel(lifeTimer_);
-    lifeTimer_ = 0;
+  void signOfLife(Try& one) {
+    egress_.parts_.bell.cancel(one.lifeTimer);
+    one.lifeTimer = 0;
+    one.silent = false;
+    if (!over_) ascent_->sign(one.at);
   }
 
   // The node there has taken the bytes and says nothing, not even that it is at work: it stands
-  // still. What may run twice goes elsewhere, the rest can only wait.
-  void noSignOfLife() {
-    if (over_ || !call_) return;
-    egress_.loads_.failed(at_, egress_.parts_.bell.now());
-    if (!idempotent_) return;
-    const bool sent = call_->maybeSent();
-    call_->cancel();
-    call_ = nullptr;
-    failed(sent ? Outcome::maybeRun : Outcome::unreachable);
+  // still, or is slow. Its server may be at work by now, so its answer is awaited all the same;
+  // what may run twice goes to another node beside it.
+  void noSignOfLife(Try& one) {
+    if (over_) return;
+    const Instant now = egress_.parts_.bell.now();
+    one.silent = true;
+    egress_.loads_.failed(one.at, now);
+    carryOut(ascent_->silent(one.at, now));
   }
 
-  void answerHead(HTTPResponse& response, const BodyPlan& plan) {
-    answered_ = true;
-    signOfLife();
-    response_ = std::make_unique<HTTPResponse>(response.getVersion(), response.getStatus(),
-                                               response.getReason());
-    saddle::copyHeaders(response, *response_, hop::ours);
-    plan_ = plan;
-    reading_ = egress_.parts_.approach->read(response);
+  void answerHead(Try& one, HTTPResponse& response, const BodyPlan& plan) {
+    one.answered = true;
+    signOfLife(one);
+    one.response = std::make_unique<HTTPResponse>(response.getVersion(), response.getStatus(),
+                                                  response.getReason());
+    saddle::copyHeaders(response, *one.response, hop::ours);
+    one.plan = plan;
+    one.reading = egress_.parts_.approach->read(response);
+    const auto& reading = one.reading;
     const Instant now = egress_.parts_.bell.now();
-    if (reading_.load) {
+    if (reading.load) {
       // The load told of others is without the request that it answers.
-      if (!reading_.ownLoadIncluded) uncount();
-      egress_.loads_.reported(at_, *reading_.load, now);
+      if (!reading.ownLoadIncluded) uncount(one);
+      egress_.loads_.reported(one.at, *reading.load, now);
     }
-    if (reading_.gone) egress_.loads_.failed(at_, now);
-    if (egress_.parts_.gateway && reading_.refused != Outcome::turnedAway) {
-      egress_.loads_.answered(at_, reading_.wellDone, now);
+    if (reading.gone) egress_.loads_.failed(one.at, now);
+    if (egress_.parts_.gateway && reading.refused != Outcome::turnedAway) {
+      egress_.loads_.answered(one.at, reading.wellDone, now);
     }
   }
 
-  [[nodiscard]] bool passable() const { return !reading_.refused; }
-
-  void answerBody(std::string& bytes) {
-    held_.append(bytes);
-    bytes.clear();
-    if (!passable()) {
-      held_.clear();
+  void answerBody(const TryPtr& one, std::string& bytes) {
+    // Of an answer that isn't for the caller, or comes second, nothing is kept.
+    if (one->reading.refused || over_ || (streaming_ && streaming_ != one)) {
+      bytes.clear();
       return;
     }
-    if (!streaming_ && held_.size() > kHoldAnswer) beginStream();
-    if (streaming_) {
-      visit_->piece(held_);
-      held_.clear();
+    one->held.append(bytes);
+    bytes.clear();
+    if (!streaming_ && one->held.size() > kHoldAnswer) beginStream(one);
+    if (streaming_ == one) {
+      visit_->piece(one->held);
+      one->held.clear();
       pace();
     }
   }
 
   // Statuses that promise "not run" are the node's to give, not a server's that may have run it.
-  bool hollowPromise() const {
-    const int status = response_->getStatus();
-    return (status == 503 || status == 429 || status == 408) && !response_->has("Not-Executed");
+  static bool hollowPromise(const HTTPResponse& response) {
+    const int status = response.getStatus();
+    return (status == 503 || status == 429 || status == 408) && !response.has("Not-Executed");
   }
 
-  void beginStream() {
-    streaming_ = true;
-    visit_->head(*response_, plan_);
+  void beginStream(const TryPtr& one) {
+    streaming_ = one;
+    leaveOthers(one);
+    visit_->head(*one->response, one->plan);
   }
 
-  void answerDone() {
-    call_ = nullptr;
-    uncount();
+  void answerDone(const TryPtr& one) {
+    drop(one);
+    uncount(*one);
     const Instant now = egress_.parts_.bell.now();
-    if (reading_.refused) {
-      if (*reading_.refused == Outcome::notThere) egress_.loads_.failed(at_, now);
-      if (*reading_.refused == Outcome::full) egress_.loads_.worked(at_);
-      failed(*reading_.refused);
-      return;
-    }
-    egress_.loads_.worked(at_);
-    if (!streaming_ && hollowPromise()) {
-      failed(Outcome::maybeRun);
+    if (one->reading.refused) {
+      if (*one->reading.refused == Outcome::notThere) egress_.loads_.failed(one->at, now);
+      if (*one->reading.refused == Outcome::full) egress_.loads_.worked(one->at);
+      failed(*one, *one->reading.refused);
       return;
     }
+    egress_.loads_.worked(one->at);
+    if (over_ || (streaming_ && streaming_ != one)) return;
     if (!streaming_) {
-      if (plan_.kind != BodyKind::none || !held_.empty()) {
-        plan_ = BodyPlan{held_.empty() ? BodyKind::none : BodyKind::length, held_.size()};
+      if (hollowPromise(*one->response)) {
+        failed(*one, Outcome::maybeRun);
+        return;
+      }
+      if (one->plan.kind != BodyKind::none || !one->held.empty()) {
+        one->plan =
+            BodyPlan{one->held.empty() ? BodyKind::none : BodyKind::length, one->held.size()};
       }
-      visit_->head(*response_, plan_);
-      visit_->piece(held_);
+      visit_->head(*one->response, one->plan);
+      visit_->piece(one->held);
     }
     ++egress_.counts_.served;
+    leaveOthers(one);
     const auto visit = visit_;
     finish();
     visit->end();
   }
 
-  void callFailed(Call::Failure failure) {
+  void callFailed(const TryPtr& one, Call::Failure failure) {
     auto& parts = egress_.parts_;
     const Instant now = parts.bell.now();
-    const Span idled = call_ ? call_->idled() : Span(-1);
-    call_ = nullptr;
-    signOfLife();
-    uncount();
+    const Span idled = one->call->idled();
+    drop(one);
+    uncount(*one);
     const bool reused = idled >= Span(0);
     if (reused && failure == Call::Failure::stale) {
       egress_.freshness_.stale(service_, idled, now);
@@ -266,24 +293,25 @@
       egress_.freshness_.outOfStep(service_, now);
     }
     if (parts.gateway && failure != Call::Failure::notSent && failure != Call::Failure::stale) {
-      egress_.loads_.answered(at_, false, now);
+      egress_.loads_.answered(one->at, false, now);
     }
     const bool shut =
         !parts.gateway || failure == Call::Failure::notSent || failure == Call::Failure::unclear;
-    if (shut) egress_.loads_.failed(at_, now);
-    if (streaming_) {
+    if (shut) egress_.loads_.failed(one->at, now);
+    if (over_) return;
+    if (streaming_ == one) {
       cutShort();
       return;
     }
-    failed(failure == Call::Failure::notSent ? Outcome::unreachable : Outcome::maybeRun);
+    failed(*one, failure == Call::Failure::notSent ? Outcome::unreachable : Outcome::maybeRun);
   }
 
-  void failed(Outcome outcome) {
-    uncount();
-    if (over_) return;
-    carryOut(ascent_->after(outcome, egress_.parts_.bell.now()));
+  void failed(const Try& one, Outcome outcome) {
+    if (over_ || streaming_) return;
+    carryOut(ascent_->after(one.at, outcome, egress_.parts_.bell.now()));
   }
 
+  // Own answers are given where no try is out any more, or at the deadline.
   void refuse(ErrorKind kind) {
     if (answerFor(kind).notRun) {
       ++egress_.counts_.refused;
@@ -304,12 +332,16 @@
   }
 
   void timeUp() {
-    if (over_) return;
-    const bool sent = call_ != nullptr && call_->maybeSent();
+    if (over_) {
+      endLeft();
+      return;
+    }
     if (streaming_) {
       cutShort();
       return;
     }
+    const bool sent = std::any_of(tries_.begin(), tries_.end(),
+                                  [](const TryPtr& one) { return one->call->maybeSent(); });
     refuse(ascent_->atDeadline(sent));
   }
 
@@ -318,19 +350,55 @@
     finish();
   }
 
-  void uncount() {
-    if (!counted_) return;
-    counted_ = false;
-    egress_.loads_.ended(at_, egress_.parts_.bell.now());
+  void uncount(Try& one) {
+    if (!one.counted) return;
+    one.counted = false;
+    egress_.loads_.ended(one.at, egress_.parts_.bell.now());
+  }
+
+  // It is out no longer.
+  void drop(const TryPtr& one) {
+    egress_.parts_.bell.cancel(one->lifeTimer);
+    one->lifeTimer = 0;
+    std::erase(tries_, one);
+    std::erase(left_, one);
+  }
+
+  void cancel(const TryPtr& one) {
+    drop(one);
+    uncount(*one);
+    one->call->cancel();
+  }
+
+  // Another's answer has won. A try whose node stands still is called back: nothing of it is passed
+  // on once the node goes on (`Ingress::visit`). One that shows life probably runs: its server is
+  // let finish, for the slot is taken and an end half-way helps nobody.
+  void leaveOthers(const TryPtr& winner) {
+    const auto tries = tries_;
+    for (const auto& one : tries) {
+      if (one == winner) continue;
+      if (one->silent || one->lifeTimer != 0 || !visit_->bodyDone) {
+        cancel(one);
+      } else {
+        std::erase(tries_, one);
+        left_.push_back(one);
+      }
+    }
+  }
+
+  void endLeft() {
+    const auto left = left_;
+    for (const auto& one : left) cancel(one);
   }
 
   void finish() {
     over_ = true;
-    uncount();
-    egress_.parts_.bell.cancel(timer_);
-    signOfLife();
-    if (call_) call_->cancel();
-    call_ = nullptr;
+    const auto tries = tries_;
+    for (const auto& one : tries) cancel(one);
+    if (left_.empty()) {
+      egress_.parts_.bell.cancel(timer_);
+      timer_ = 0;
+    }
     --egress_.inFlight_;
     egress_.parts_.bell.later([a = std::move(visit_->onBody), b = std::move(visit_->onGone),
                                c = std::move(visit_->onDrain)] {});
@@ -347,19 +415,12 @@
   Instant target_;
   std::unique_ptr<Ascent> ascent_;
   hut::Bell::TimerId timer_ = 0;
-  hut::Bell::TimerId lifeTimer_ = 0;
-  Call::Ptr call_;
   ServiceName service_;
-  InstanceId at_;
   std::string body_;
-  std::string held_;
-  std::unique_ptr<HTTPResponse> response_;
-  BodyPlan plan_;
-  Reading reading_;
+  std::vector<TryPtr> tries_;  // out, and owed an answer
+  std::vector<TryPtr> left_;   // out, and overtaken by another
+  TryPtr streaming_;           // whose answer the caller is getting
   bool replayable_ = true;
-  bool answered_ = false;
-  bool streaming_ = false;
-  bool counted_ = false;
   bool over_ = false;
 };
 
@@ -399,6 +460,8 @@
     visit->fail(parts_.current() ? ErrorKind::noRoute : ErrorKind::behind);
     return;
   }
+  // A caller that closed while this node stood still has given the request up.
+  if (visit->abandoned()) return;
   std::make_shared<Trip>(*this, visit, *route)->start(*route);
 }
 
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -96,6 +96,11 @@
 
   void run() {
     running_ = true;
+    // A caller that closed was called elsewhere or has given up: what it sent stays here.
+    if (visit_->abandoned()) {
+      finish(Span(0));
+      return;
+    }
     ++ingress_.counts_.admitted;
     began_ = ingress_.parts_.bell.now();
     send(ingress_.freshness_.limit(service(), once_ ? kFreshOnce : kFreshSafe, began_));
