--- a/tests/mesh.cpp
+++ b/tests/mesh.cpp
@@ -8,12 +8,51 @@
 namespace merlin::test {
 namespace {
 
+// Nodes that stand still and go on again, with requests in their sockets.
+void thaws(Mesh& mesh, App& app, const std::string& front, const std::string& back) {
+  const auto ask = [&](const std::string& path, const std::string& id,
+                       const std::string& deadline) {
+    return call(at(front, kEgress), "POST", path,
+                {{"Host", "echo.example"}, {"Attempt-Id", id}, {"Deadline-Ms", deadline}}, "x")
+        .status;
+  };
+  const auto pause = [](int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); };
+  int status = 0;
+  mesh.pause(back, true);
+  std::thread waiting([&] { status = ask("/safe/1", "w1", "2000"); });
+  pause(500);
+  mesh.pause(back, false);
+  waiting.join();
+  require(status == 200, "with nowhere else to go, the answer of a silent node is waited for");
+  require(app.runs()["w1"] == 1, "and it ran once");
+
+  mesh.pause(back, true);
+  require(ask("/a/1", "w2", "300") == 504, "what may have run is never promised not to have");
+  mesh.pause(back, false);
+  eventually("the node takes requests again", [&] { return ask("/a/1", "w3", "2000") == 200; });
+  require(!app.runs().contains("w2"),
+          "a node that goes on passes nothing on for callers that left");
+
+  mesh.pause(front, true);
+  {
+    net::StreamSocket socket{net::SocketAddress(at(front, kEgress))};
+    const std::string text =
+        "POST /a/1 HTTP/1.1\r\nHost: echo.example\r\nAttempt-Id: w4\r\nContent-Length: 0\r\n\r\n";
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+  }
+  mesh.pause(front, false);
+  eventually("so does the first node", [&] { return ask("/a/1", "w5", "2000") == 200; });
+  require(!app.runs().contains("w4"), "nor does the node that a caller gave up on");
+}
+
 void play(const std::string& program) {
-  Mesh mesh(program, "127.91");
-  const std::vector<std::string> cores = {"127.91.0.1", "127.91.0.2", "127.91.0.3"};
-  const std::string front = "127.91.0.11";
-  const std::string back = "127.91.0.12";
-  const std::string other = "127.91.0.13";
+  // Runs beside each other don't share addresses.
+  const std::string hosts = "127." + std::to_string(20 + ::getpid() % 200);
+  Mesh mesh(program, hosts);
+  const std::vector<std::string> cores = {hosts + ".0.1", hosts + ".0.2", hosts + ".0.3"};
+  const std::string front = hosts + ".0.11";
+  const std::string back = hosts + ".0.12";
+  const std::string other = hosts + ".0.13";
   for (const auto& ip : cores) mesh.start(ip, Mesh::Kind::core, true);
   for (const auto& ip : {front, back, other}) mesh.start(ip, Mesh::Kind::sidecar, true);
   eventually("a node without a configuration is not ready",
@@ -77,6 +116,7 @@
           "with its own caller, path and body, and nothing of ours");
   require(reply.headers["Response-Seal"] == "sealed", "the seal comes back");
   for (const auto& [id, runs] : app.runs()) require(runs == 1, "it ran once");
+  thaws(mesh, app, front, back);
   {
     App second(other, "i-2");
     second.beat("available");
@@ -95,6 +135,11 @@
     for (int i = 0; i < 10; ++i) served += safe("f" + std::to_string(i)).status == 200 ? 1 : 0;
     require(served == 10, "with its node frozen, repeatable requests are all served elsewhere");
     mesh.pause(other, false);
+    second.beat("available");
+    for (int i = 0; i < 10; ++i) {
+      require(!second.runs().contains("f" + std::to_string(i)),
+              "what was served elsewhere isn't run once the frozen node goes on");
+    }
     eventually("its leave is acknowledged", [&] {
       return call(at(other, kControl), "POST", "/v1/Instances.Deregister/i-2").status == 200;
     });
--- a/tests/world_path.cpp
+++ b/tests/world_path.cpp
@@ -33,7 +33,10 @@
   std::unique_ptr<Ascent> ascent;
   int runs = 0;
   bool over = false;
-  int turn = 0;  // the try that is out; answers to older ones are nobody's
+  int turn = 0;
+  std::set<int> out;      // tries that are out; answers to others are nobody's
+  std::set<int> signed_;  // of which their nodes have said that they have them
+  int working = 0;        // servers at work on it
 };
 
 struct Waiting {
@@ -98,6 +101,8 @@
            {"refused", refused_ / n},
            {"unclear", unclear_ / n},
            {"overdue", overdue_ / n},
+           {"silent", silent_},
+           {"besides", besides_},
            {"repeats", static_cast<double>(repeats_.size())},
            {"p99", times_.empty() ? 0 : times_[times_.size() * 99 / 100]},
            {"p50", times_.empty() ? 0 : times_[times_.size() / 2]},
@@ -188,13 +193,16 @@
   }
 
   void carryOut(const std::shared_ptr<Request>& request, const Step& step) {
-    if (request->over) return;
+    if (request->over || step.what == Step::Do::wait) return;
     if (step.what == Step::Do::answer) {
+      require(request->out.empty() && request->working == 0,
+              "an answer of our own while a server's is owed");
       const auto& row = answerFor(step.error);
       end(*request, row.notRun ? refused_ : unclear_, row.notRun);
       return;
     }
     const int turn = ++request->turn;
+    request->out.insert(turn);
     auto& host = hostOf(*step.to.id);
     auto& node = *nodes_[static_cast<std::size_t>(request->node)];
     node.loads.began(host.id, clock_.now());
@@ -206,8 +214,18 @@
       back(request, turn, host, Outcome::maybeRun, 50);
       return;
     }
-    clock_.after(clock_.uniform(0.1, 1.2), [this, request, turn, &host, wait = step.mayWait] {
-      atIngress(request, turn, host, wait);
+    const double way = lost("slow_way") ? clock_.uniform(100, number(s_, "slow_way", 400))
+                                        : clock_.uniform(0.1, 1.2);
+    clock_.after(way, [this, request, turn, &host, wait = step.mayWait] {
+      if (request->out.contains(turn)) atIngress(request, turn, host, wait);
+    });
+    clock_.after(150, [this, request, turn, &host, &node] {
+      if (request->over || !request->out.contains(turn) || request->signed_.contains(turn)) return;
+      ++silent_;
+      node.loads.failed(host.id, clock_.now());
+      const auto next = request->ascent->silent(host.id, clock_.now());
+      besides_ += next.what == Step::Do::send ? 1 : 0;
+      carryOut(request, next);
     });
   }
 
@@ -217,6 +235,10 @@
       back(request, turn, host, Outcome::notThere, 1);
       return;
     }
+    clock_.after(1, [request, turn, &host] {
+      request->signed_.insert(turn);
+      if (!request->over && request->out.contains(turn)) request->ascent->sign(host.id);
+    });
     Turnstile::Arrival arrival;
     arrival.ticket = ++tickets_;
     arrival.rank = request->rank;
@@ -252,6 +274,7 @@
       return;
     }
     ++request->runs;
+    ++request->working;
     if (host.drainedAt >= 0 && clock_.ms() - host.drainedAt > number(s_, "drain_timeout", 2000)) {
       ++afterDrain_;
     }
@@ -262,6 +285,7 @@
     const int epoch = host.epoch;
     const double began = clock_.ms();
     clock_.after(work, [this, request, turn, &host, epoch, began] {
+      --request->working;
       if (host.epoch != epoch) {
         back(request, turn, host, Outcome::maybeRun, 1);
         return;
@@ -275,9 +299,10 @@
       }
       clock_.after(clock_.uniform(0.1, 1.2), [this, request, turn, &host, jobs] {
         auto& node = *nodes_[static_cast<std::size_t>(request->node)];
-        if (request->turn == turn) node.loads.ended(host.id, clock_.now());
+        if (request->out.erase(turn) == 0) return;
+        node.loads.ended(host.id, clock_.now());
         node.loads.reported(host.id, jobs, clock_.now());
-        if (request->over || request->turn != turn) return;
+        if (request->over) return;
         request->over = true;
         served_ += 1;
         (request->rank == 0 ? highServed_ : lowServed_) += 1;
@@ -306,12 +331,13 @@
             double ms) {
     clock_.after(ms, [this, request, turn, &host, outcome] {
       auto& node = *nodes_[static_cast<std::size_t>(request->node)];
-      if (request->turn == turn) node.loads.ended(host.id, clock_.now());
+      if (request->out.erase(turn) == 0) return;
+      node.loads.ended(host.id, clock_.now());
       if (outcome == Outcome::unreachable || outcome == Outcome::notThere) {
         node.loads.failed(host.id, clock_.now());
       }
-      if (request->over || request->turn != turn) return;
-      carryOut(request, request->ascent->after(outcome, clock_.now()));
+      if (request->over) return;
+      carryOut(request, request->ascent->after(host.id, outcome, clock_.now()));
     });
   }
 
@@ -373,6 +399,8 @@
   double refused_ = 0;
   double unclear_ = 0;
   double overdue_ = 0;
+  double silent_ = 0;
+  double besides_ = 0;
   double afterDrain_ = 0;
   double high_ = 0;
   double low_ = 0;
