A node sends a request to its server again only where the reset came at once

Cause (code): a kept connection that ended before the answer counted as an idle one that the server had dropped, however long the server had worked on the request; its node sent what may run twice a second time, unpaid, and where that failed told the caller that it had not been passed on. Also: a connection isn't kept while bytes of a request whose answer came early are still on their way out. Test (mesh): a server that breaks off after 0.3 s of work; without the mend it runs the request twice.

--- a/src/connection/call.cpp
+++ b/src/connection/call.cpp
@@ -144,8 +144,10 @@
 
 void Call::done() {
   over_ = true;
-  // Bytes after a whole answer belong to no request; an unfinished request body spoils it too.
-  if (keep_ && sentAll_ && rope_->in.empty() && !rope_->gone()) {
+  // Bytes after a whole answer belong to no request. What of a request is still on its way out when
+  // its answer is whole spoils the connection too: whoever answered early may not read the rest as
+  // what it is.
+  if (keep_ && sentAll_ && rope_->unsent() == 0 && rope_->in.empty() && !rope_->gone()) {
     rope_->onOpen = nullptr;
     rope_->onDrain = nullptr;
     ropes_.put(key_, rope_, keepSeconds_);
--- a/src/request/ingress.cpp
+++ b/src/request/ingress.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t kReplayLimit = 64 * 1024;
 constexpr Span kFreshOnce = std::chrono::milliseconds(1500);
 constexpr Span kFreshSafe = std::chrono::seconds(20);
+// A server that had closed a kept connection resets it at once; what breaks off later was read.
+constexpr Span kUnreadWithin = std::chrono::milliseconds(40);
 // Servers that say they drain take nothing new after this part of the drain time.
 constexpr double kDrainPart = 0.5;
 constexpr double kWeight = 0.1;  // of the newest answer in the share that fails
@@ -206,6 +208,10 @@
 
   void answerDone() {
     call_ = nullptr;
+    if (turnedAway_ && resent_) {
+      unclear();
+      return;
+    }
     if (turnedAway_) {
       refuse(hop::kTurnedAway);
       return;
@@ -234,18 +240,23 @@
       visit->cut();
       return;
     }
-    if (failure == Call::Failure::notSent) {
+    if (failure == Call::Failure::notSent && !resent_) {
       ++ingress_.counts_.notThere;
       ingress_.parts_.serverRefuses(id_);
       refuse(hop::kNotThere);
       return;
     }
     // A kept connection that the server had dropped: what may run twice goes on a new one.
-    if (failure == Call::Failure::stale && !once_ && replayable_) {
-      answered_ = false;
+    if (failure == Call::Failure::stale && !once_ && replayable_ && !resent_ &&
+        now - began_ < kUnreadWithin) {
+      resent_ = true;
       send(Span(-1));
       return;
     }
+    unclear();
+  }
+
+  void unclear() {
     ++ingress_.counts_.unclear;
     const auto visit = visit_;
     finish(Span(0));
@@ -294,6 +305,7 @@
   bool replayable_ = true;
   bool answered_ = false;
   bool turnedAway_ = false;
+  bool resent_ = false;  // so the server may have seen it, whatever becomes of the second call
   bool streaming_ = false;
   bool over_ = false;
 };
--- a/tests/hosts.hpp
+++ b/tests/hosts.hpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -143,6 +144,12 @@
       if (request.getURI().find("slow") != std::string::npos) {
         std::this_thread::sleep_for(std::chrono::milliseconds(600));
       }
+      if (request.getURI().find("drop") != std::string::npos) {
+        // Runs it for a while, then closes without a word.
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        static_cast<net::HTTPServerRequestImpl&>(request).detachSocket();
+        return;
+      }
       response.set("Response-Seal", "sealed");
       response.setChunkedTransferEncoding(true);
       response.send() << json{
--- a/tests/mesh.cpp
+++ b/tests/mesh.cpp
@@ -33,6 +33,9 @@
   require(!app.runs().contains("w2"),
           "a node that goes on passes nothing on for callers that left");
 
+  require(ask("/safe/drop", "w6", "2000") == 502 && app.runs()["w6"] == 1,
+          "a server that breaks off at work isn't sent the request again by its own node");
+
   mesh.pause(front, true);
   {
     net::StreamSocket socket{net::SocketAddress(at(front, kEgress))};
