--- a/src/connection/call.cpp
+++ b/src/connection/call.cpp
@@ -132,8 +132,9 @@
   if (end == Rope::End::connectFailed) {
     fail(maybeSent_ ? Failure::unclear : Failure::notSent);
   } else if (!gotHead_) {
+    // An interim answer and then the end is no sign of a connection out of step.
     const bool unread = reused_ && !gotBytes_;
-    fail(unread ? Failure::stale : gotBytes_ ? Failure::junk : Failure::unclear);
+    fail(unread ? Failure::stale : !rope_->in.empty() ? Failure::junk : Failure::unclear);
   } else if (reader_.endsByClose() && end == Rope::End::closed) {
     keep_ = false;
     done();
