--- a/src/version/history.cpp
+++ b/src/version/history.cpp
@@ -93,7 +93,7 @@
   auto entries = entries_;
   entries.push_back(entry);
   auto* made = new History(floor_, seed_, std::move(entries));
-  const Ptr out(made);
+  Ptr out(made);
   made->cutOff(made->entries_.size() - std::min(made->entries_.size(), most));
   return out;
 }
@@ -103,7 +103,7 @@
   const auto more = read(last(), letters);
   entries.insert(entries.end(), more.begin(), more.end());
   auto* made = new History(floor_, seed_, std::move(entries));
-  const Ptr out(made);
+  Ptr out(made);
   std::size_t below = 0;
   while (below < made->entries_.size() && made->entries_[below].revision <= floor) ++below;
   made->cutOff(below);
