--- a/src/process/roster.cpp
+++ b/src/process/roster.cpp
@@ -319,22 +319,23 @@
 // everything chosen up to so long before it is known here (or after it, where negative); "y", the
 // same of what the voter here had accepted; "u", this core is out of touch with the majority. The
 // puller takes the moment at which it sent the pull for that of the arrival: it was earlier.
-void Roster::addEvidence(const Hanging& hanging, json& out) const {
+void Roster::tellEvidence(const Hanging& hanging, const Field& add) const {
   const auto millis = [](Span span) {  // rounded up: rather older than it is
-    return span.count() > 0 ? (span.count() + 999) / 1000 : span.count() / 1000;
+    return std::to_string(span.count() > 0 ? (span.count() + 999) / 1000 : span.count() / 1000);
   };
-  const Instant upTo = parts_.evidence.knownUpTo(quorumAt());
-  if (upTo > cairn::Evidence::kNever) out["e"] = millis(hanging.arrived - upTo);
+  const Instant quorum = quorumAt();
+  const Instant upTo = parts_.evidence.knownUpTo(quorum);
+  if (upTo > cairn::Evidence::kNever) add("e", millis(hanging.arrived - upTo));
   if (!parts_.core) return;
   if (hanging.core) {
     const auto own = parts_.own();
-    if (own && *own > cairn::Evidence::kNever) out["y"] = millis(hanging.arrived - *own);
+    if (own && *own > cairn::Evidence::kNever) add("y", millis(hanging.arrived - *own));
   }
   // One that has just started may still be on its way to them.
   const bool young =
       authoritySince_ == cairn::Evidence::kNever &&
       (startedAt_ == cairn::Evidence::kNever || parts_.world.now() - startedAt_ <= kAuthority);
-  if (!young && !hasAuthority()) out["u"] = 1;
+  if (!young && parts_.world.clock() - quorum > kAuthority) add("u", "1");
 }
 
 // Only of an answer whose value, if it brought one, is known here by now.
@@ -620,9 +621,7 @@
     add("r", json(book.ranges()).dump());
   }
   if (newValue) add("c", parts_.knownFor(hanging.text));
-  auto evidence = json::object();
-  addEvidence(hanging, evidence);
-  for (const auto& [name, value] : evidence.items()) add(name.c_str(), value.dump());
+  tellEvidence(hanging, add);
   text += "}";
   hanging.answer(text);
 }
--- a/src/process/roster.hpp
+++ b/src/process/roster.hpp
@@ -146,7 +146,8 @@
   [[nodiscard]] bool anythingFor(const NodeId& from, const Hanging& hanging) const;
   std::vector<NodeId> cores() const;
   void watchAuthority();
-  void addEvidence(const Hanging& hanging, nlohmann::json& out) const;
+  using Field = std::function<void(const char* name, const std::string& value)>;
+  void tellEvidence(const Hanging& hanging, const Field& add) const;
   void takeEvidence(const NodeId& peer, const nlohmann::json& answer, Instant asked);
   [[nodiscard]] bool cutOff(const NodeId& core) const;
   void cutOff(const NodeId& core, bool is);
