--- a/src/process/warden.cpp
+++ b/src/process/warden.cpp
@@ -30,6 +30,7 @@
 constexpr Span kCoreSettled = std::chrono::seconds(1);
 constexpr Span kHoldLimit = std::chrono::milliseconds(800);  // a beat has a second
 constexpr Span kNodeSilent = std::chrono::milliseconds(4500);
+constexpr Span kDeniedFor = 2 * kNodeSilent;
 // A node that carries traffic waits so long for somebody who knows what is current, then it takes
 // what it has: the majority of the core may be down for long.
 constexpr Span kTakeWhatIsThere = std::chrono::seconds(6);
@@ -432,11 +433,22 @@
   std::set<NodeId> suspected;
   // Silence doesn't count before this core could hear again.
   const bool listening = now - roster_->authoritySince() > kNodeSilent;
+  std::map<NodeId, Quiet> quiet;
   for (const auto& node : listening ? roster_->quietFor(kNodeSilent) : std::vector<NodeId>()) {
     const auto it = guestbook_.nodes().find(node);
-    if (it == guestbook_.nodes().end() || it->second.silent || it->second.leaving) continue;
-    suspected.insert(node);
+    if (it == guestbook_.nodes().end() || it->second.leaving) continue;
+    const auto& facts = it->second;
+    const auto before = quiet_.find(node);
+    auto& entry = quiet[node];
+    if (before != quiet_.end()) {
+      entry = before->second;
+      // Somebody hears it, though nobody can from here.
+      if (facts.incarnation > entry.incarnation) entry.leaveUntil = now + kDeniedFor;
+    }
+    entry.incarnation = facts.incarnation;
+    if (!facts.silent && now >= entry.leaveUntil) suspected.insert(node);
   }
+  quiet_.swap(quiet);
   suspected.swap(suspected_);
   for (const auto& node : suspected_) {
     if (suspected.contains(node)) continue;  // asked already
--- a/src/process/warden.hpp
+++ b/src/process/warden.hpp
@@ -85,7 +85,14 @@
   };
   std::vector<Wait> waits_;
   std::set<NodeId> suspected_;  // found silent from here, and not heard since
-  std::uint64_t fleetOf_ = 0;   // the change of nodes that the egress has been told of
+  // Nodes that are quiet here: one that denies it by a higher incarnation is left alone for a
+  // while.
+  struct Quiet {
+    std::uint64_t incarnation = 0;
+    Instant leaveUntil;
+  };
+  std::map<NodeId, Quiet> quiet_;
+  std::uint64_t fleetOf_ = 0;  // the change of nodes that the egress has been told of
   Instant sweepAt_;
   Instant startedAt_;
   std::optional<Instant> configAt_;  // when this life first had a configuration
