--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -18,6 +18,7 @@
 constexpr double kRoundOfOneCoreMs = 10;  // small machines take longer to answer
 constexpr double kRoundMostMs = 500;
 constexpr Span kRepairAfter = std::chrono::milliseconds(250);
+constexpr Span kRepairPause = std::chrono::seconds(1);
 constexpr Span kRepairTurn = std::chrono::milliseconds(40);
 constexpr Span kRejoinEvery = std::chrono::milliseconds(250);
 constexpr Span kOwnClimb = std::chrono::milliseconds(900);
@@ -36,6 +37,7 @@
       : climber(std::move(self), std::move(basis), std::move(change), seed, round) {}
   Climber climber;
   Told told;
+  Instant began;
   Bell::TimerId timer = 0;
 };
 
@@ -54,6 +56,7 @@
   if (ledge_) {
     parts_.log("state read back, version " + std::to_string(ledge_->value().revision().value));
     keepOn(shelf_, ledge_->value());
+    parts_.evidence.accepted(ledge_->value().sequence, cairn::Evidence::kNever);
     // What it holds was probably chosen: find out as soon as the others can be asked.
     if (ledge_->value().sequence > 0) aheadSince_ = parts_.bell.now() - kRepairAfter;
     // Only the voters are taken from it for now: whether its value was chosen is not known yet.
@@ -101,6 +104,7 @@
                std::to_string(since.count() / 1000) + " ms after the start");
   }
   known_ = value;
+  parts_.evidence.learned(known_.sequence);
   keepOn(shelf_, known_);
   parts_.chosen(known_);
 }
@@ -128,6 +132,7 @@
     out.reply.value.config = text;
   }
   keepOn(shelf_, ledge_->value());
+  parts_.evidence.accepted(ledge_->value().sequence, Bell::clock());
   const auto done = [this, reply = out.reply, answer = std::move(answer)](bool ok) {
     if (!ok) {
       dirty_ = true;
@@ -157,6 +162,7 @@
   climb->told = std::move(told);
   ++climbing_;
   climb->climber.holds(ledge_ ? ledge_->value().config : nullptr, shelf_.newestHistory());
+  climb->began = Bell::clock();
   carry(climb, climb->climber.start(parts_.bell.now(), limit));
 }
 
@@ -194,7 +200,10 @@
     climb->told = nullptr;
     --climbing_;
     const auto copy = *result;
-    if (copy.known) learn(copy.chosen);
+    if (copy.known) {
+      learn(copy.chosen);
+      parts_.evidence.read(climb->began);
+    }
     told(copy);
     return;
   }
@@ -205,6 +214,11 @@
   });
 }
 
+std::optional<Instant> Council::ownEvidence() const {
+  if (!awake()) return std::nullopt;
+  return parts_.evidence.own(Bell::clock());
+}
+
 void Council::tick() {
   if (!ledge_) return;
   if (!ledge_->awake()) {
@@ -240,6 +254,7 @@
                          return;
                        }
                        keepOn(shelf_, ledge_->value());
+                       parts_.evidence.accepted(ledge_->value().sequence, cairn::Evidence::kNever);
                        parts_.log("promises read from the other voters, voting again");
                        dirty_ = true;  // saved with the first answer that rests on it
                      });
@@ -258,18 +273,21 @@
   const Instant now = parts_.bell.now();
   if (ledge_->value().sequence <= known_.sequence) {
     aheadSince_.reset();
+    repairPause_ = Span(0);
     return;
   }
   if (!aheadSince_) aheadSince_ = now;
   if (repairing_ || now - *aheadSince_ < kRepairAfter) return;
   // Somebody else is at it: two at once only take each other's turn.
   if (rivalAt_ != Instant() && now - rivalAt_ < 2 * roundTime()) return;
-  if (now - *aheadSince_ < kRepairAfter + turn()) return;
+  if (now - *aheadSince_ < kRepairAfter + turn() + repairPause_) return;
   repairing_ = true;
   climb([](const Value&, Value&) { return Climber::Verdict{}; }, ownClimb(),
-        [this](const Climber::Result&) {
+        [this](const Climber::Result& result) {
           repairing_ = false;
           aheadSince_ = parts_.bell.now();
+          // A side without a majority need not raise the ballots all the time.
+          if (!result.known) repairPause_ = std::min(kRepairPause, repairPause_ * 2 + kRepairAfter);
         });
 }
 
--- a/src/process/warden.hpp
+++ b/src/process/warden.hpp
@@ -51,6 +51,8 @@
   void drainOut();
   void applyLimits();
   [[nodiscard]] bool ready() const;
+  [[nodiscard]] bool mayAct() const;
+  void checkCurrent();
   nlohmann::json status();
   [[nodiscard]] nlohmann::json controlCounts() const;
 
@@ -63,6 +65,7 @@
   saddle::Ropes appRopes_;
   Wire wire_;
   cairn::Guestbook guestbook_;
+  cairn::Evidence evidence_;
   std::unique_ptr<Cellar> cellar_;
   std::unique_ptr<Council> council_;
   std::unique_ptr<Roster> roster_;
@@ -86,10 +89,19 @@
   };
   std::vector<Wait> waits_;
   std::set<NodeId> suspected_;  // found silent from here, and not heard since
-  std::uint64_t fleetOf_ = 0;   // the change of nodes that the egress has been told of
+  // Nodes that are quiet here: one that denies it by a higher incarnation is left alone for a
+  // while.
+  struct Quiet {
+    std::uint64_t incarnation = 0;
+    Instant leaveUntil;
+  };
+  std::map<NodeId, Quiet> quiet_;
+  std::uint64_t fleetOf_ = 0;  // the change of nodes that the egress has been told of
   Instant sweepAt_;
   Instant startedAt_;
-  Instant foreignAt_;  // when a foreign message was last logged
+  std::optional<Instant> configAt_;  // when this life first had a configuration
+  bool wasCurrent_ = false;          // in this life; what is in force here is no old one's
+  Instant foreignAt_;                // when a foreign message was last logged
 };
 
 }  // namespace merlin::hut
--- a/tests/hostile.cpp
+++ b/tests/hostile.cpp
@@ -380,6 +380,7 @@
     std::unique_ptr<cairn::Guestbook> book;
     std::unique_ptr<hut::Roster> roster;
     cairn::Value value;
+    cairn::Evidence evidence;
     std::string text;
   };
   std::array<Side, 2> sides;
@@ -440,8 +441,9 @@
         [&side](std::uint64_t has) -> const std::string& {
           return side.text = toJson(side.value, cairn::Reader{has, 0, false}).dump();
         },
-        [](const json& j) { return cairn::valueFrom(j); }, [](const cairn::Value&) {}, [] {},
-        i == 0, true, Span(0), std::chrono::milliseconds(30), Span(0)});
+        [](const json& j) { return cairn::valueFrom(j); }, [](const cairn::Value&) {},
+        side.evidence, [&side, &clock] { return side.evidence.own(clock.now()); }, [] {}, i == 0,
+        true, Span(0), std::chrono::milliseconds(30), Span(0)});
   }
   for (int turn = 0; turn < 200; ++turn) {
     for (auto& side : sides) {
