A voter that woke saves its state at once; the hostile play gets the roster's clock

A fourth core beside three voters is a spare since newcomers keep the set odd, and nobody asked it for anything that it would have saved: after a restart it would have read the others again. Seen in the storm play (no file of its own).

--- a/src/process/council.cpp
+++ b/src/process/council.cpp
@@ -256,7 +256,10 @@
                        keepOn(shelf_, ledge_->value());
                        parts_.evidence.accepted(ledge_->value().sequence, cairn::Evidence::kNever);
                        parts_.log("promises read from the other voters, voting again");
-                       dirty_ = true;  // saved with the first answer that rests on it
+                       // A spare may be asked for nothing for long: it need not read again.
+                       auto saved = ledge_->save();
+                       parts_.cellar->save({std::move(saved.head), std::move(saved.text)},
+                                           [this](bool ok) { dirty_ = dirty_ || !ok; });
                      });
   }
 }
--- a/tests/hostile.cpp
+++ b/tests/hostile.cpp
@@ -403,7 +403,7 @@
     side.value.voters = ids;
     side.value.config = cairn::Signboard::of(R"({"revision":1})");
     hut::Roster::World world;
-    world.now = [&clock] { return clock.now(); };
+    world.now = world.clock = [&clock] { return clock.now(); };
     world.after = [&clock](Span wait, std::function<void()> then) {
       clock.after(toMillis(wait) + 1, std::move(then));
       return std::uint64_t{0};
