--- a/src/http/body_framing.cpp
+++ b/src/http/body_framing.cpp
@@ -22,6 +22,7 @@
 
 BodyReader::State BodyReader::consume(std::string& input, std::string& output) {
   if (state_ != State::more) return state_;
+  const auto before = output.size();
   switch (framing_.kind) {
     case FramingKind::none:
       break;
@@ -37,6 +38,7 @@
       state_ = consumeChunks(input, output);
       break;
   }
+  bodyBytes_ += output.size() - before;
   return state_;
 }
 
--- a/src/http/body_framing.hpp
+++ b/src/http/body_framing.hpp
@@ -40,6 +40,9 @@
   State consume(std::string& input, std::string& output);
 
   [[nodiscard]] State state() const { return state_; }
+  [[nodiscard]] FramingKind framing() const { return framing_.kind; }
+  /// Bytes of the body so far, without chunk sizes and trailers.
+  [[nodiscard]] std::uint64_t bodyBytes() const { return bodyBytes_; }
   /// Whether the orderly end of the connection completes the body.
   [[nodiscard]] bool endsByClose() const { return framing_.kind == FramingKind::untilClose; }
 
@@ -61,6 +64,7 @@
 
   BodyFraming framing_;
   std::uint64_t remaining_ = 0;  // bytes of the body, or of the present chunk, still to come
+  std::uint64_t bodyBytes_ = 0;
   State state_ = State::more;
   ChunkPart chunkPart_ = ChunkPart::size;
 };
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -21,6 +21,21 @@
 // of answers carry the headers between nodes beside the server's own.
 constexpr std::size_t kMaxResponseHeadBytes = 65536;
 
+// What ends a body that is complete by its own framing.
+MessageEnd endByFraming(FramingKind framing) {
+  switch (framing) {
+    case FramingKind::none:
+      return MessageEnd::noBody;
+    case FramingKind::contentLength:
+      return MessageEnd::contentLength;
+    case FramingKind::chunked:
+      return MessageEnd::lastChunk;
+    case FramingKind::untilClose:
+      return MessageEnd::orderlyClose;
+  }
+  return MessageEnd::abandoned;
+}
+
 // The N of `Keep-Alive: timeout=N`.
 std::optional<Duration> announcedKeepAlive(const HTTPResponse& response) {
   constexpr std::string_view kParameter = "timeout=";
@@ -100,13 +115,13 @@
   const auto found = findHead(connection_->input, kMaxResponseHeadBytes);
   if (found.result == HeadParseResult::incomplete) return false;
   if (found.result != HeadParseResult::complete) {
-    fail(Failure::invalidResponse);
+    fail(Failure::invalidResponse, MessageEnd::malformed);
     return false;
   }
   HTTPResponse response;
   const auto framing = parseHead(std::string_view(connection_->input.data(), found.size), response);
   if (!framing) {
-    fail(Failure::invalidResponse);
+    fail(Failure::invalidResponse, MessageEnd::malformed);
     return false;
   }
   connection_->input.erase(0, found.size);
@@ -147,32 +162,33 @@
   if (!undeliveredBody_.empty() && onBody) onBody(undeliveredBody_);
   if (over_) return;
   if (state == BodyReader::State::malformed) {
-    fail(Failure::truncated);
+    fail(Failure::truncated, MessageEnd::malformed);
   } else if (state == BodyReader::State::done) {
-    complete();
+    complete(endByFraming(responseReader_.framing()));
   }
 }
 
 void ClientExchange::onConnectionEnd(TcpConnection::EndReason reason) {
   if (over_) return;
   const auto self = shared_from_this();
+  const bool orderly = reason == TcpConnection::EndReason::closed;
+  const auto end = orderly ? MessageEnd::closedEarly : MessageEnd::reset;
   // Whatever the failure says, the request is not sent again here: only its owner knows whether it
   // may be offered to a second server.
   if (reason == TcpConnection::EndReason::connectFailed) {
-    fail(maybeSent_ ? Failure::noResponse : Failure::notSent);
+    fail(maybeSent_ ? Failure::noResponse : Failure::notSent, end);
   } else if (receivedHead_) {
-    const bool orderly = reason == TcpConnection::EndReason::closed;
     if (orderly && responseReader_.endsByClose()) {
       serverKeepsAlive_ = false;
-      complete();
+      complete(MessageEnd::orderlyClose);
     } else {
-      fail(Failure::truncated);
+      fail(Failure::truncated, end);
     }
   } else if (reused_ && !receivedBytes_) {
     // An interim answer and then the end is no sign of a stale connection.
-    fail(Failure::staleConnection);
+    fail(Failure::staleConnection, end);
   } else {
-    fail(connection_->input.empty() ? Failure::noResponse : Failure::invalidResponse);
+    fail(connection_->input.empty() ? Failure::noResponse : Failure::invalidResponse, end);
   }
 }
 
@@ -184,8 +200,14 @@
          connection_->input.empty() && !connection_->isClosed();
 }
 
-void ClientExchange::complete() {
+std::optional<MessageSummary> ClientExchange::responseSummary() const {
+  if (!receivedHead_) return std::nullopt;
+  return MessageSummary{responseReader_.framing(), responseEnd_, responseReader_.bodyBytes()};
+}
+
+void ClientExchange::complete(MessageEnd responseEnd) {
   over_ = true;
+  responseEnd_ = responseEnd;
   // An answer reaches exactly its caller: a connection out of step serves nobody else.
   if (isConnectionInStep()) {
     connection_->onOpen = nullptr;
@@ -199,9 +221,10 @@
   if (callback) callback();
 }
 
-void ClientExchange::fail(Failure failure) {
+void ClientExchange::fail(Failure failure, MessageEnd responseEnd) {
   if (over_) return;
   over_ = true;
+  responseEnd_ = responseEnd;
   connection_->close();
   const auto callback = onFailure;
   release();
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -15,6 +15,7 @@
 #include "base/time.hpp"
 #include "event/event_loop.hpp"
 #include "http/body_framing.hpp"
+#include "http/message_end.hpp"
 #include "http/tcp_connection.hpp"
 
 namespace merlingauge::http {
@@ -72,6 +73,8 @@
   /// Stops or resumes reading the answer (back-pressure).
   void pauseReading(bool paused);
 
+  /// How the answer was framed and how it ended; nothing where no head of it has come.
+  [[nodiscard]] std::optional<MessageSummary> responseSummary() const;
   [[nodiscard]] std::size_t unsentBytes() const {
     return connection_ ? connection_->unsentBytes() : 0;
   }
@@ -98,8 +101,8 @@
   void beginResponse(Poco::Net::HTTPResponse& response, const BodyFraming& framing);
   void readBody();
   [[nodiscard]] bool isConnectionInStep() const;
-  void complete();
-  void fail(Failure failure);
+  void complete(MessageEnd responseEnd);
+  void fail(Failure failure, MessageEnd responseEnd);
   void release();
 
   ConnectionPool& pool_;
@@ -109,6 +112,7 @@
   TcpConnection::Ptr connection_;  // until the end of the exchange
   FramingKind requestFramingKind_ = FramingKind::none;
   BodyReader responseReader_;
+  MessageEnd responseEnd_ = MessageEnd::abandoned;
   std::string undeliveredBody_;  // read, and left in place by onBody
   bool isHeadRequest_ = false;
   bool reused_ = false;  // the connection has served an exchange before
--- a/src/proxy/egress_request.cpp
+++ b/src/proxy/egress_request.cpp
@@ -8,6 +8,7 @@
 #include "http/message_headers.hpp"
 #include "proxy/header_number.hpp"
 #include "proxy/peer_headers.hpp"
+#include "proxy/response_log.hpp"
 #include "proxy/server_response.hpp"
 #include "proxy/service_headers.hpp"
 
@@ -358,6 +359,8 @@
 
 // It is pending no longer.
 void EgressRequest::discard(const AttemptPtr& attempt) {
+  recordResponseEnd(ResponseHop::egress, client_->request.get("Attempt-Id", ""), attempt->endpoint,
+                    attempt->exchange->responseSummary(), egress_.stats.responses);
   egress_.loop.cancel(attempt->silenceTimer);
   attempt->silenceTimer = 0;
   std::erase(attempts_, attempt);
--- a/src/proxy/egress_state.hpp
+++ b/src/proxy/egress_state.hpp
@@ -7,6 +7,7 @@
 #include "event/event_loop.hpp"
 #include "http/connection_pool.hpp"
 #include "http/idle_timeout_estimator.hpp"
+#include "http/message_end.hpp"
 #include "membership/instance_registry.hpp"
 #include "proxy/d_adaptive_picker.hpp"
 #include "proxy/endpoint_subset.hpp"
@@ -23,6 +24,7 @@
   std::uint64_t rejected = 0;  ///< ended with a response that promises "not executed"
   std::uint64_t failed = 0;    ///< ended otherwise: cut short, late, or with an unknown outcome
   std::uint64_t attempts = 0;  ///< sent to an instance or the node beside it
+  http::MessageEndCounts responses;  ///< of attempts, from instances or the nodes beside them
 };
 
 struct EgressOptions {
--- a/src/proxy/ingress_request.cpp
+++ b/src/proxy/ingress_request.cpp
@@ -12,6 +12,7 @@
 #include "http/message_headers.hpp"
 #include "proxy/header_number.hpp"
 #include "proxy/peer_headers.hpp"
+#include "proxy/response_log.hpp"
 #include "proxy/server_response.hpp"
 #include "proxy/service_headers.hpp"
 
@@ -207,7 +208,14 @@
   bytes.clear();
 }
 
+// The exchange with the instance is over, or is about to be cancelled.
+void IngressRequest::recordResponse() const {
+  recordResponseEnd(ResponseHop::ingress, client_->request.get("Attempt-Id", ""), id_,
+                    upstream_->responseSummary(), ingress_.stats.responses);
+}
+
 void IngressRequest::onResponseComplete() {
+  recordResponse();
   upstream_ = nullptr;
   if (notExecuted_ && resent_) {
     failUnknownOutcome();
@@ -225,6 +233,7 @@
 void IngressRequest::onUpstreamFailed(ClientExchange::Failure failure) {
   const TimePoint now = ingress_.loop.now();
   const Duration idleTime = upstream_ ? upstream_->connectionIdleTime() : kNoIdleConnection;
+  if (upstream_) recordResponse();
   upstream_ = nullptr;
   learnFromFailure(ingress_.idleTimeouts, kOnlyService, idleTime, failure, now);
   if (countsAgainstInstance(failure)) reportHealth(false);
@@ -274,7 +283,10 @@
 void IngressRequest::finish(Duration took) {
   if (over_) return;
   over_ = true;
-  if (upstream_) upstream_->cancel();
+  if (upstream_) {
+    recordResponse();
+    upstream_->cancel();
+  }
   upstream_ = nullptr;
   releaseCallbacks(ingress_.loop, *client_, shared_from_this());
   const TimePoint now = ingress_.loop.now();
--- a/src/proxy/ingress_request.hpp
+++ b/src/proxy/ingress_request.hpp
@@ -45,6 +45,7 @@
   void onResponseHead(const Poco::Net::HTTPResponse& response, const http::BodyFraming& framing);
   void onResponseBody(std::string& bytes);
   void onResponseComplete();
+  void recordResponse() const;
   void onUpstreamFailed(http::ClientExchange::Failure failure);
   [[nodiscard]] bool maySendAgain(http::ClientExchange::Failure failure, TimePoint now) const;
 
--- a/src/proxy/ingress_state.hpp
+++ b/src/proxy/ingress_state.hpp
@@ -10,6 +10,7 @@
 #include "event/event_loop.hpp"
 #include "http/connection_pool.hpp"
 #include "http/idle_timeout_estimator.hpp"
+#include "http/message_end.hpp"
 #include "membership/instance_registry.hpp"
 #include "proxy/instance_gates.hpp"
 
@@ -22,6 +23,7 @@
   std::uint64_t overloaded = 0;      ///< rejected on arrival: no slot, and no use in waiting
   std::uint64_t unavailable = 0;     ///< rejected: draining, unknown here, or not to be reached
   std::uint64_t unknownOutcome = 0;  ///< passed on, and no whole response came
+  http::MessageEndCounts responses;  ///< from the instance beside this node
 };
 
 /// What the ingress asks and tells its node about the instances beside it.
--- a/tests/loopback/instance_server.cpp
+++ b/tests/loopback/instance_server.cpp
@@ -1,6 +1,8 @@
 // instance_server.cpp: a correct server of the users' in a loopback test.
 #include "loopback/instance_server.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -8,9 +10,16 @@
 
 namespace merlingauge::test {
 
+namespace {
+// What was written has reached the other end of a loopback connection by then: a reset would drop
+// what is still on its way.
+constexpr Duration kBeforeEnd = std::chrono::milliseconds(15);
+}  // namespace
+
 InstanceServer::InstanceServer(EventLoop& loop, const SocketAddress& address,
                                std::string instanceId, int number, RequestLedger& ledger)
-    : instanceId_(std::move(instanceId)),
+    : loop_(loop),
+      instanceId_(std::move(instanceId)),
       number_(number),
       ledger_(ledger),
       listener_(loop, address, [this](const auto& connection) { onAccept(connection); }) {}
@@ -47,9 +56,25 @@
     counted = false;
     const bool isLong = text.find("/big ") != std::string::npos;
     connection.write(responseOf(head->id, isLong, isAddressedHere));
+    if (afterResponse && isAddressedHere) endAfterResponse(connection, afterResponse(head->id));
   }
 }
 
+void InstanceServer::endAfterResponse(const SocketEndpoint& connection, AfterResponse how) {
+  if (how == AfterResponse::keepOpen) return;
+  const auto found =
+      std::find_if(connections_.begin(), connections_.end(),
+                   [&connection](const auto& open) { return open.get() == &connection; });
+  if (found == connections_.end()) return;
+  loop_.after(kBeforeEnd, [endpoint = *found, how] {
+    if (how == AfterResponse::close) {
+      endpoint->close();
+    } else {
+      endpoint->reset();
+    }
+  });
+}
+
 void InstanceServer::countHead(const std::string& id, bool isAddressedHere) {
   ++ledger_.heads;
   if (!isAddressedHere) return;
--- a/tests/loopback/instance_server.hpp
+++ b/tests/loopback/instance_server.hpp
@@ -1,6 +1,7 @@
 // instance_server.hpp: a correct server of the users' in a loopback test.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,16 +21,26 @@
                  RequestLedger& ledger);
   /// Where set: the bytes that it sends in place of the correct response.
   std::function<std::string(const std::string& id, const std::string& correctResponse)> substitute;
+  /// What becomes of the connection behind a response.
+  enum class AfterResponse : std::uint8_t {
+    keepOpen,
+    close,  ///< FIN
+    reset,  ///< RST
+  };
+  /// Where set: what becomes of the connection behind the response to the attempt `id`.
+  std::function<AfterResponse(const std::string& id)> afterResponse;
   /// Stops listening and resets all connections.
   void close();
 
  private:
   void onAccept(const SocketEndpoint::Ptr& connection);
   void serve(SocketEndpoint& connection, bool& counted);
+  void endAfterResponse(const SocketEndpoint& connection, AfterResponse how);
   void countHead(const std::string& id, bool isAddressedHere);
   [[nodiscard]] std::string responseOf(const std::string& id, bool isLong,
                                        bool isAddressedHere) const;
 
+  EventLoop& loop_;
   std::string instanceId_;
   int number_;
   RequestLedger& ledger_;
--- /dev/null
+++ b/tests/loopback/response_framing_test.cpp
@@ -0,0 +1,273 @@
+// response_framing_test: responses of every framing, whole and broken off by their server, on the
+// real egress, ingress and edge over kernel sockets. A caller never takes a part for a whole, and a
+// whole response on a connection arrives whatever becomes of a later one.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "loopback/proxy_path.hpp"
+#include "loopback/response_reader.hpp"
+#include "loopback/test_messages.hpp"
+
+namespace merlingauge::test {
+namespace {
+
+using std::chrono::seconds;
+using AfterResponse = InstanceServer::AfterResponse;
+
+enum class Framing : std::uint8_t { untilClose, length, chunked, count };
+constexpr std::array<const char*, 3> kFramingNames = {"UntilClose", "Length", "Chunked"};
+
+// How the server ends the response.
+enum class ServerEnd : std::uint8_t {
+  whole,
+  resetInBody,    // half of the body, then RST
+  closeInBody,    // half of the body, then FIN
+  resetAfterBody  // the whole body but nothing that says so (no FIN, no last chunk), then RST
+};
+constexpr std::array<const char*, 4> kServerEndNames = {"Whole", "ResetInBody", "CloseInBody",
+                                                        "ResetAfterBody"};
+
+// The connection that the request comes on.
+enum class Caller : std::uint8_t {
+  fresh,       // HTTP/1.1
+  kept,        // HTTP/1.1, behind an earlier response
+  pipelined,   // HTTP/1.1, an earlier and a later request sent with it
+  http10,      // HTTP/1.0
+  http10Kept,  // HTTP/1.0 with Connection: keep-alive, behind an earlier response
+};
+constexpr std::array<const char*, 5> kCallerNames = {"Fresh", "Kept", "Pipelined", "Http10",
+                                                     "Http10Kept"};
+
+struct Scenario {
+  bool gateway = false;
+  bool nonIdempotent = false;
+  bool isLong = false;
+  Framing framing = Framing::untilClose;
+  ServerEnd end = ServerEnd::whole;
+  Caller caller = Caller::fresh;
+
+  [[nodiscard]] std::string name() const {
+    return std::string(gateway ? "Gateway" : "Mesh") + (nonIdempotent ? "Once" : "Safe") +
+           (isLong ? "Long" : "Short") + kFramingNames.at(static_cast<std::size_t>(framing)) +
+           kServerEndNames.at(static_cast<std::size_t>(end)) +
+           kCallerNames.at(static_cast<std::size_t>(caller));
+  }
+  [[nodiscard]] bool isHttp10() const {
+    return caller == Caller::http10 || caller == Caller::http10Kept;
+  }
+  [[nodiscard]] bool isKept() const {
+    return caller == Caller::kept || caller == Caller::http10Kept;
+  }
+};
+
+// A response without a length that its server ends by FIN is whole as far as anybody can tell.
+bool isAmbiguous(const Scenario& scenario) {
+  return scenario.framing == Framing::untilClose && scenario.end == ServerEnd::closeInBody;
+}
+
+std::vector<Scenario> scenarios() {
+  std::vector<Scenario> all;
+  for (unsigned flags = 0; flags < 8; ++flags) {
+    for (std::size_t framing = 0; framing < kFramingNames.size(); ++framing) {
+      for (std::size_t end = 0; end < kServerEndNames.size(); ++end) {
+        for (std::size_t caller = 0; caller < kCallerNames.size(); ++caller) {
+          const Scenario scenario{(flags & 1) != 0,
+                                  (flags & 2) != 0,
+                                  (flags & 4) != 0,
+                                  static_cast<Framing>(framing),
+                                  static_cast<ServerEnd>(end),
+                                  static_cast<Caller>(caller)};
+          if (!isAmbiguous(scenario)) all.push_back(scenario);
+        }
+      }
+    }
+  }
+  return all;
+}
+
+const std::string kTargetId = "target";
+
+// What the server sends for the target request.
+std::string targetResponse(const Scenario& scenario) {
+  const auto whole = responseBody(kTargetId, scenario.isLong);
+  const bool half =
+      scenario.end == ServerEnd::resetInBody || scenario.end == ServerEnd::closeInBody;
+  const auto body = half ? whole.substr(0, whole.size() / 2) : whole;
+  std::string text =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: " + kTargetId + "\r\nResponse-Seal: seal " + kTargetId;
+  switch (scenario.framing) {
+    case Framing::length:
+      return text + "\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + body;
+    case Framing::chunked: {
+      std::array<char, 20> size{};
+      std::snprintf(size.data(), size.size(), "%zx", body.size());
+      text += "\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size.data()) + "\r\n" + body;
+      return text + (scenario.end == ServerEnd::whole ? "\r\n0\r\n\r\n" : "\r\n");
+    }
+    case Framing::untilClose:
+    case Framing::count:
+      break;
+  }
+  return text + "\r\n\r\n" + body;
+}
+
+AfterResponse afterTarget(const Scenario& scenario) {
+  switch (scenario.end) {
+    case ServerEnd::whole:
+      return scenario.framing == Framing::untilClose ? AfterResponse::close
+                                                     : AfterResponse::keepOpen;
+    case ServerEnd::closeInBody:
+      return AfterResponse::close;
+    case ServerEnd::resetInBody:
+    case ServerEnd::resetAfterBody:
+      return AfterResponse::reset;
+  }
+  return AfterResponse::keepOpen;
+}
+
+// Sends the requests of a scenario and keeps what comes back. Stays where it is until the process
+// ends, like the loop, which may refer to it.
+class Play {
+ public:
+  Play(EventLoop& loop, const Scenario& scenario, std::size_t number)
+      : loop_(loop),
+        scenario_(scenario),
+        path_(loop, number, scenario.gateway, std::nullopt, {}, ledger_) {
+    for (const auto& server : path_.servers()) {
+      server->substitute = [scenario](const std::string& id, const std::string& correctResponse) {
+        return id == kTargetId ? targetResponse(scenario) : correctResponse;
+      };
+      server->afterResponse = [scenario](const std::string& id) {
+        return id == kTargetId ? afterTarget(scenario) : AfterResponse::keepOpen;
+      };
+    }
+  }
+
+  void run() {
+    connection_ = SocketEndpoint::connect(loop_, path_.clientAddress());
+    ASSERT_TRUE(connection_);
+    connection_->onData = [this] { onData(); };
+    connection_->onEnd = [this](SocketEndpoint::End end) {
+      reader_.end(end == SocketEndpoint::End::closed ? ResponseReader::ConnectionEnd::closed
+                                                     : ResponseReader::ConnectionEnd::reset);
+      loop_.stop();
+    };
+    expected_ = 1;
+    if (scenario_.isKept()) {
+      connection_->write(request("early"));
+    } else if (scenario_.caller == Caller::pipelined) {
+      expected_ = 3;
+      connection_->write(request("early") + request(kTargetId) + request("later"));
+    } else {
+      connection_->write(request(kTargetId));
+    }
+    loop_.after(seconds(10), [this] {
+      timedOut_ = true;
+      loop_.stop();
+    });
+    loop_.run();
+    connection_->reset();
+    path_.close();
+  }
+
+  [[nodiscard]] const std::vector<ReceivedResponse>& responses() const {
+    return reader_.responses();
+  }
+  [[nodiscard]] bool timedOut() const { return timedOut_ && !done_; }
+
+ private:
+  [[nodiscard]] std::string request(const std::string& id) const {
+    const bool once = scenario_.nonIdempotent && id == kTargetId;
+    const std::string path =
+        std::string(once ? "/once" : "/safe") + (scenario_.isLong ? "/big" : "/short");
+    auto text = requestTo(path, id);
+    if (!scenario_.isHttp10()) return text;
+    text.replace(text.find("HTTP/1.1"), 8, "HTTP/1.0");
+    const auto fields = text.find("\r\n") + 2;
+    return scenario_.isKept() ? text.insert(fields, "Connection: keep-alive\r\n") : text;
+  }
+
+  void onData() {
+    reader_.add(std::exchange(connection_->received, {}));
+    if (scenario_.isKept() && !targetSent_ && reader_.responses().size() == 1) {
+      targetSent_ = true;
+      expected_ = 2;
+      connection_->write(request(kTargetId));
+    }
+    if (reader_.responses().size() < expected_) return;
+    done_ = true;
+    loop_.stop();
+  }
+
+  EventLoop& loop_;
+  Scenario scenario_;
+  RequestLedger ledger_;
+  ProxyPath path_;
+  SocketEndpoint::Ptr connection_;
+  ResponseReader reader_;
+  std::size_t expected_ = 0;
+  bool targetSent_ = false;
+  bool timedOut_ = false;
+  bool done_ = false;
+};
+
+class ResponseFramingTest : public testing::TestWithParam<Scenario> {
+ protected:
+  const Play& play(const Scenario& scenario) {
+    static auto& plays = *new std::deque<std::unique_ptr<Play>>;
+    static std::size_t number = 0;
+    auto& loop = *new EventLoop;  // what it still refers to stays too
+    plays.push_back(std::make_unique<Play>(loop, scenario, number++));
+    plays.back()->run();
+    return *plays.back();
+  }
+};
+
+void expectWhole(const ReceivedResponse& response, const std::string& id, bool isLong) {
+  EXPECT_EQ(response.ending, ReceivedResponse::Ending::whole) << id;
+  EXPECT_EQ(response.status, 200) << id;
+  EXPECT_EQ(response.seal, "seal " + id);
+  EXPECT_TRUE(response.body == responseBody(id, isLong))
+      << id << ": " << response.body.size() << " bytes of body, framed by " << response.framing;
+}
+
+TEST_P(ResponseFramingTest, APartNeverLooksWhole) {
+  const auto& scenario = GetParam();
+  const auto& play = this->play(scenario);
+  ASSERT_FALSE(play.timedOut());
+  auto responses = play.responses();
+  if (scenario.isKept() || scenario.caller == Caller::pipelined) {
+    ASSERT_FALSE(responses.empty());
+    expectWhole(responses.front(), "early", scenario.isLong);
+    responses.erase(responses.begin());
+  }
+  const bool bodyIsComplete =
+      scenario.framing == Framing::length && scenario.end == ServerEnd::resetAfterBody;
+  if (scenario.end == ServerEnd::whole || bodyIsComplete) {
+    ASSERT_FALSE(responses.empty());
+    expectWhole(responses.front(), kTargetId, scenario.isLong);
+  }
+  for (const auto& response : responses) {
+    EXPECT_NE(response.ending, ReceivedResponse::Ending::malformed);
+    EXPECT_FALSE(scenario.isHttp10() && response.framing == "chunked");
+    const bool success = response.status >= 200 && response.status < 300;
+    if (response.ending != ReceivedResponse::Ending::whole || !success) continue;
+    expectWhole(response, response.attemptId, scenario.isLong);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ResponseFramingTest, testing::ValuesIn(scenarios()),
+                         [](const testing::TestParamInfo<Scenario>& param) {
+                           return param.param.name();
+                         });
+
+}  // namespace
+}  // namespace merlingauge::test
