--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -34,9 +34,13 @@
     std::size_t maxIdlePerAddress = 64;
     /// See TcpConnection::connect.
     std::chrono::milliseconds tcpUserTimeout{0};
+    /// Whether the end of the connection may complete an answer. Other nodes always give a length
+    /// or chunks: from them such an answer is refused, since their process may have ended half-way.
+    bool answersMayEndByClose = true;
   };
 
   ConnectionPool(event::EventLoop& loop, Options options);
+  [[nodiscard]] bool answersMayEndByClose() const { return options_.answersMayEndByClose; }
 
   /// Begins an exchange with the server at `to`, on an idle connection or a new one. `maxIdleTime`:
   /// a connection idle for longer isn't used for this exchange, but gives way to a new one.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -224,7 +224,7 @@
   }
   // The request can't be complete any more; whoever has the front of it must drop it.
   if (exchange->headSent()) {
-    close();
+    closeAfterPartialAnswer(*exchange);
     return;
   }
   const auto onClientGone = exchange->onClientGone;
@@ -250,9 +250,8 @@
   while (!over_ && !exchanges_.empty() && exchanges_.front()->over_) {
     const auto exchange = exchanges_.front();
     connection_->write(std::exchange(exchange->heldOutput_, {}));
-    // An answer that runs to the close would look complete after an orderly end: reset it instead.
     if (exchange->aborted_) {
-      close();
+      closeAfterPartialAnswer(*exchange);
       return;
     }
     exchanges_.pop_front();
@@ -276,15 +275,34 @@
 }
 
 void ServerConnection::closeAfterAnswer() {
-  timer_.cancel();
-  over_ = true;
   connection_->closeAfterFlush();
+  leaveConnection();
+}
+
+// What has been written leaves first: answers before this one are whole. Its own end is missing by
+// its framing, or, where the close would be its end, there is a reset in place of that.
+void ServerConnection::closeAfterPartialAnswer(const ServerExchange& exchange) {
+  if (exchange.endsByClose()) {
+    connection_->abortAfterFlush();
+  } else {
+    connection_->closeAfterFlush();
+  }
+  leaveConnection();
+}
+
+// The connection ends by itself, once its output has left.
+void ServerConnection::leaveConnection() {
+  if (over_) return;
+  const auto self = shared_from_this();  // the listener lets go of it in onClosed_
+  over_ = true;
+  timer_.cancel();
   abandonExchanges();  // what was sent behind it counts as unread
   if (onClosed_) onClosed_();
 }
 
 void ServerConnection::beginNextAnswer() {
   const auto next = exchanges_.front();
+  if (next->headSent() && next->endsByClose()) setAbortiveClose();
   connection_->write(std::exchange(next->heldOutput_, {}));
   if (!next->dispatched_ && !next->over_) dispatch(next);
   if (!next->over_ && next->onFlushed) next->onFlushed();
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -58,6 +58,8 @@
   [[nodiscard]] std::size_t unsentBytes() const { return connection_->unsentBytes(); }
   [[nodiscard]] bool closedByPeer() const { return connection_->closedByPeer(); }
   void write(std::string_view bytes) { connection_->write(bytes); }
+  /// The answer under way ends by the close: until it is complete, every other end is a reset.
+  void setAbortiveClose() { connection_->setAbortiveClose(true); }
   /// Reads on only while less than the limit of a request's body is buffered.
   void limitReading(std::size_t bufferedBytes);
   /// The answer whose turn it was has ended: on to those that wait behind it.
@@ -82,6 +84,8 @@
   void continueBody();
   void reject(ErrorKind kind);
   void closeAfterAnswer();
+  void closeAfterPartialAnswer(const ServerExchange& exchange);
+  void leaveConnection();
   void beginNextAnswer();
   void abandonExchanges();
   [[nodiscard]] bool mayBeginNext() const;
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -49,9 +49,11 @@
 bool ServerExchange::mustCloseAfter(const ServerConnection& connection) const {
   // While draining, the last answer that is owed says so.
   if (connection.isDraining() && connection.isLast(*this)) return true;
-  return wantsClose(request) || responseFraming_.kind == FramingKind::untilClose || !bodyComplete;
+  return wantsClose(request) || endsByClose() || !bodyComplete;
 }
 
+bool ServerExchange::isHttp10() const { return request.getVersion() == HTTPMessage::HTTP_1_0; }
+
 bool ServerExchange::hasFramingHeaders(int status) const {
   if (status == HTTPResponse::HTTP_NO_CONTENT || status == HTTPResponse::HTTP_NOT_MODIFIED) {
     return false;
@@ -64,15 +66,17 @@
   if (!connection || over_ || headSent_) return;
   headSent_ = true;
   responseFraming_ = framing;
-  // HTTP/1.0 knows no chunks.
-  if (framing.kind == FramingKind::chunked && request.getVersion() == HTTPMessage::HTTP_1_0) {
-    responseFraming_.kind = FramingKind::untilClose;
+  // An orderly end of the connection proves nothing: that of a process half-way looks the same.
+  // Only a caller of HTTP/1.0, which knows no chunks, gets a body that ends by it.
+  if (framing.kind == FramingKind::chunked || framing.kind == FramingKind::untilClose) {
+    responseFraming_.kind = isHttp10() ? FramingKind::untilClose : FramingKind::chunked;
   }
   isHeadRequest_ = request.getMethod() == HTTPRequest::HTTP_HEAD;
   if (mustCloseAfter(*connection)) closeAfterResponse_ = true;
   response.setVersion(HTTPMessage::HTTP_1_1);
   if (hasFramingHeaders(response.getStatus())) setFramingHeaders(responseFraming_, response);
   if (closeAfterResponse_) response.set(HTTPMessage::CONNECTION, "close");
+  if (endsByClose() && connection->isFront(*this)) connection->setAbortiveClose();
   write(serializeHead(response));
 }
 
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -28,8 +28,9 @@
 /// it; it refers to the connection weakly. Thread: the event-loop thread only.
 ///
 /// An answer reaches exactly the caller of its request: what is written before it is this
-/// exchange's turn stays in heldOutput_, and an answer that is cut short ends the connection with a
-/// reset, so that it can't look complete.
+/// exchange's turn stays in heldOutput_, and an answer that is cut short can't look complete: it
+/// has a length or chunks, whose end is missing, or, to a caller of HTTP/1.0 that can't be told the
+/// length, its connection is reset.
 class ServerExchange : public std::enable_shared_from_this<ServerExchange> {
  public:
   using Ptr = std::shared_ptr<ServerExchange>;
@@ -55,13 +56,14 @@
   /// Everything written so far has left: more may be written (back-pressure).
   std::function<void()> onFlushed;
 
-  /// Begins a streamed answer; sets the headers of the framing and the connection in `response`.
+  /// Begins a streamed answer; sets the headers of the framing and the connection in `response`. A
+  /// body whose length isn't known goes in chunks, however `framing` says it came.
   void sendHead(Poco::Net::HTTPResponse& response, const BodyFraming& framing);
   /// Sends a piece of the body.
   void sendBody(std::string_view bytes);
   /// Ends the answer in order.
   void endResponse();
-  /// Ends the answer so that it can't look complete: the connection is reset.
+  /// Ends the answer half-way, and the connection with it, so that it can't look complete.
   void abortResponse();
   /// A complete answer in one go.
   void respond(int status, const std::string& reason, std::string_view body,
@@ -88,6 +90,11 @@
   void write(std::string_view bytes);
   [[nodiscard]] bool mustCloseAfter(const ServerConnection& connection) const;
   [[nodiscard]] bool hasFramingHeaders(int status) const;
+  [[nodiscard]] bool isHttp10() const;
+  /// The end of the connection completes the answer.
+  [[nodiscard]] bool endsByClose() const {
+    return responseFraming_.kind == FramingKind::untilClose;
+  }
   void finish();
 
   std::weak_ptr<ServerConnection> connection_;
--- a/src/http/tcp_connection.cpp
+++ b/src/http/tcp_connection.cpp
@@ -4,8 +4,10 @@
 #include <Poco/Net/PollSet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -18,8 +20,14 @@
 constexpr std::size_t kReadChunkBytes = 16384;
 // An output buffer that grew beyond this gives its memory back when it is empty.
 constexpr std::size_t kRetainedOutputBytes = 4 * kReadChunkBytes;
-// How long a caller has to read the last answer of a connection that closes behind it.
+// A connection that closes is given up once nothing has left it for so long, or so long after
+// everything has.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+// However slowly the other side reads.
+constexpr Duration kMaxClosingTime = std::chrono::seconds(10);
+// How often a connection that is to be reset asks the kernel what is still unacknowledged: about a
+// round trip between zones.
+constexpr Duration kAcknowledgedCheckInterval = std::chrono::milliseconds(2);
 
 bool isTransient(const Poco::Exception& error) {
   return error.code() == EAGAIN || error.code() == EWOULDBLOCK;
@@ -28,7 +36,7 @@
 
 TcpConnection::TcpConnection(event::EventLoop& loop, const Poco::Net::StreamSocket& socket,
                              State state)
-    : loop_(loop), socket_(socket), state_(state), timer_(loop) {}
+    : loop_(loop), socket_(socket), state_(state), timer_(loop), abortTimer_(loop) {}
 
 TcpConnection::~TcpConnection() {
   if (state_ != State::closed) loop_.forget(socket_);
@@ -132,7 +140,7 @@
   }
   if (received < 0) return;
   if (received == 0) {
-    end(EndReason::closed);
+    end(broken_ ? EndReason::reset : EndReason::closed);
     return;
   }
   if (state_ == State::closing) return;  // whatever comes now belongs to nobody
@@ -140,24 +148,28 @@
   if (onData) onData();
 }
 
-bool TcpConnection::isQuiet() {
-  if (state_ != State::open || !input.empty()) return false;
+// The kernel reports a socket's error once: whoever reads next would take the reset for an orderly
+// end, so it is kept here.
+std::optional<int> TcpConnection::peek() {
   char byte = 0;
   try {
-    return socket_.receiveBytes(&byte, 1, MSG_PEEK) < 0;
+    return socket_.receiveBytes(&byte, 1, MSG_PEEK);
   } catch (const Poco::Exception&) {
-    return false;
+    broken_ = true;
+    return std::nullopt;
   }
 }
 
+bool TcpConnection::isQuiet() {
+  if (state_ != State::open || !input.empty()) return false;
+  const auto seen = peek();
+  return seen && *seen < 0;
+}
+
 bool TcpConnection::closedByPeer() {
   if (state_ != State::open) return true;
-  char byte = 0;
-  try {
-    return socket_.receiveBytes(&byte, 1, MSG_PEEK) == 0;
-  } catch (const Poco::Exception&) {
-    return true;
-  }
+  const auto seen = peek();
+  return !seen || *seen == 0;
 }
 
 void TcpConnection::write(std::string_view bytes) {
@@ -183,7 +195,7 @@
     output_.clear();
     if (output_.capacity() > kRetainedOutputBytes) output_.shrink_to_fit();
     sentBytes_ = 0;
-    if (state_ == State::closing && !shutdownSending()) return;
+    if (state_ == State::closing && !endOutput()) return;
   } else if (sentBytes_ > kReadChunkBytes) {
     output_.erase(0, sentBytes_);
     sentBytes_ = 0;
@@ -203,10 +215,48 @@
       return false;
     }
   }
-  if (sent > 0) sentBytes_ += static_cast<std::size_t>(sent);
+  if (sent > 0) {
+    sentBytes_ += static_cast<std::size_t>(sent);
+    if (state_ == State::closing) startLingerTimer();
+  }
   return true;
 }
 
+bool TcpConnection::endOutput() {
+  if (abortsAfterFlush_) {
+    abortOnceAcknowledged();
+    return state_ != State::closed;
+  }
+  // From here on an orderly end says the truth.
+  setAbortiveClose(false);
+  return shutdownSending();
+}
+
+void TcpConnection::abortOnceAcknowledged() {
+  int unacknowledged = 0;
+  const bool known =
+      ::ioctl(socket_.impl()->sockfd(), TIOCOUTQ, &unacknowledged) == 0;  // NOLINT(*-vararg)
+  if (known && unacknowledged == 0) {
+    close();
+    return;
+  }
+  // A kernel that doesn't tell gets the time until the linger timer.
+  if (!known) return;
+  abortTimer_.start(kAcknowledgedCheckInterval, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->abortOnceAcknowledged();
+  });
+}
+
+void TcpConnection::setAbortiveClose(bool enabled) {
+  if (abortive_ == enabled || state_ == State::closed) return;
+  abortive_ = enabled;
+  try {
+    socket_.setLinger(enabled, 0);
+  } catch (const Poco::Exception&) {
+    // The connection has broken: its end is an error already.
+  }
+}
+
 bool TcpConnection::shutdownSending() {
   if (sendingShutDown_) return true;
   sendingShutDown_ = true;
@@ -231,18 +281,40 @@
     close();
     return;
   }
+  beginClosing();
+}
+
+void TcpConnection::abortAfterFlush() {
+  if (state_ == State::closed || state_ == State::closing) return;
+  setAbortiveClose(true);
+  if (state_ == State::connecting) {
+    close();
+    return;
+  }
+  abortsAfterFlush_ = true;
+  beginClosing();
+}
+
+void TcpConnection::beginClosing() {
   state_ = State::closing;
+  closingSince_ = loop_.now();
   releaseCallbacks();
-  timer_.start(kLingerTimeout, [self = shared_from_this()] { self->close(); });
+  startLingerTimer();
   scheduleFlush();
   updateInterest();
 }
 
+void TcpConnection::startLingerTimer() {
+  const Duration left = closingSince_ + kMaxClosingTime - loop_.now();
+  timer_.start(std::min(kLingerTimeout, left), [self = shared_from_this()] { self->close(); });
+}
+
 void TcpConnection::close() {
   if (state_ == State::closed) return;
   const auto self = shared_from_this();  // the timer's task may hold the last reference
   state_ = State::closed;
   timer_.cancel();
+  abortTimer_.cancel();
   loop_.forget(socket_);
   try {
     socket_.close();
--- a/src/http/tcp_connection.hpp
+++ b/src/http/tcp_connection.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,9 +21,14 @@
 
 /// Ownership: whoever uses the connection holds the one lasting reference: a ClientExchange while
 /// it runs, then the ConnectionPool; a ServerConnection for connections accepted. The event loop
-/// refers to it weakly, except behind closeAfterFlush(), when it keeps the connection until the
-/// output has left or kLingerTimeout is over. The socket is closed by close() or with the object.
-/// Thread: the event-loop thread only.
+/// refers to it weakly, except behind closeAfterFlush() and abortAfterFlush(), when it keeps the
+/// connection until the output has left or nothing of it has left for kLingerTimeout. The socket is
+/// closed by close() or with the object.
+///
+/// What the peer's kernel reports at the end (tests/http/connection_end_test.cpp): an orderly end
+/// (FIN) after close(), after closeAfterFlush(), and after the end of the process, unless received
+/// bytes are unread; an error (RST) after abortAfterFlush() and, while setAbortiveClose(true)
+/// holds, after every other end too. Thread: the event-loop thread only.
 class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
  public:
   using Ptr = std::shared_ptr<TcpConnection>;
@@ -62,6 +68,12 @@
   void write(std::string_view bytes);
   /// Closes once everything is flushed; nothing more is read for the owner, who may let go of it.
   void closeAfterFlush();
+  /// Resets the connection once the other side's kernel has acknowledged everything written, so
+  /// that it reads all of that and then an error. Otherwise as closeAfterFlush().
+  void abortAfterFlush();
+  /// While set, the connection ends with a reset however it ends, with the process too: for output
+  /// that an orderly end would complete. closeAfterFlush() takes it back once everything has left.
+  void setAbortiveClose(bool enabled);
   /// Closes now and drops what is not sent. onEnd is not called.
   void close();
   /// Pauses or resumes reading (back-pressure).
@@ -83,7 +95,7 @@
   enum class State : std::uint8_t {
     connecting,  ///< the kernel is connecting
     open,        ///< bytes go both ways
-    closing,     ///< closeAfterFlush(): what is buffered leaves, what comes is dropped
+    closing,     ///< what is buffered leaves, what comes is dropped
     closed,      ///< the socket is closed
   };
 
@@ -96,6 +108,14 @@
   /// False where the connection ended by it.
   bool sendBuffered();
   bool shutdownSending();
+  void beginClosing();
+  /// A closing connection with nothing left to send ends, by FIN or by RST.
+  bool endOutput();
+  void abortOnceAcknowledged();
+  void startLingerTimer();
+  /// The result of a one-byte look into the socket: below 0 where nothing has come, 0 for an
+  /// orderly end; nullopt where the connection is broken.
+  std::optional<int> peek();
   void scheduleFlush();
   /// Asks the loop for what this state can use.
   void updateInterest();
@@ -110,7 +130,12 @@
   bool readingEnabled_ = true;
   bool flushScheduled_ = false;
   bool sendingShutDown_ = false;
-  event::Timer timer_;  // of the connect, later of the linger
+  bool broken_ = false;            // a look at the socket has taken its error
+  bool abortive_ = false;          // the socket's option, as set by setAbortiveClose()
+  bool abortsAfterFlush_ = false;  // only in State::closing
+  TimePoint closingSince_;
+  event::Timer timer_;       // of the connect, later of the linger
+  event::Timer abortTimer_;  // looks whether everything is acknowledged
 };
 
 }  // namespace merlingauge::http
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kEdgeIdleKeptFor = std::chrono::seconds(9);
 constexpr int kEdgeIdleKeptPerAddress = 8;
 constexpr std::chrono::milliseconds kMachineGoneAfter{700};
+// An ingress frames every answer; only an instance may end one by closing.
+constexpr bool kNodesEndByClose = false;
 
 // Gossip takes processor time; a node with little of it spaces its messages by these costs of one
 // whole core, up to a limit.
@@ -73,7 +75,7 @@
   if (settings.isGateway()) {
     return {kPeerConnectTimeout, kEdgeIdleKeptFor, kEdgeIdleKeptPerAddress, kMachineGoneAfter};
   }
-  return {kPeerConnectTimeout, kIdleKeptFor, kIdleKeptPerAddress, {}};
+  return {kPeerConnectTimeout, kIdleKeptFor, kIdleKeptPerAddress, {}, kNodesEndByClose};
 }
 
 http::ConnectionPool::Options serverPoolOptions() {
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -28,6 +28,8 @@
 // peer.
 constexpr Duration kIdleTimeout = std::chrono::seconds(15);
 constexpr int kIdleConnectionsPerPeer = 4;
+// A message of another node always has a length.
+constexpr bool kPeersEndByClose = false;
 // A pooled connection idle for longer is not used again: the peer may just be closing it.
 constexpr Duration kMaxIdleForReuse = std::chrono::seconds(10);
 }  // namespace
@@ -43,7 +45,7 @@
 PeerRpc::PeerRpc(event::EventLoop& loop, std::uint16_t port)
     : loop_(loop),
       port_(port),
-      pool_(loop, {kConnectTimeout, kIdleTimeout, kIdleConnectionsPerPeer}) {}
+      pool_(loop, {kConnectTimeout, kIdleTimeout, kIdleConnectionsPerPeer, {}, kPeersEndByClose}) {}
 
 PeerRpc::~PeerRpc() {
   for (auto& [id, call] : pendingCalls_) {
--- a/tests/loopback/proxy_path.cpp
+++ b/tests/loopback/proxy_path.cpp
@@ -63,7 +63,7 @@
   using std::chrono::milliseconds;
   using std::chrono::seconds;
   if (gateway) return {milliseconds(300), seconds(9), 8, milliseconds(700)};
-  return {milliseconds(300), seconds(20), 64, {}};
+  return {milliseconds(300), seconds(20), 64, {}, false};
 }
 
 }  // namespace
