Response invariants checked while running; metrics in the Prometheus text format

Cause: nothing in the running code said that a response went out whole only if its source was, and no figure of a node could be scraped.

--- a/src/cli/application.cpp
+++ b/src/cli/application.cpp
@@ -48,6 +48,10 @@
   options.addOption(
       Option("log-level", "l", "of node: error, warning, information (default) or debug")
           .argument("LEVEL"));
+  options.addOption(
+      Option("metrics", "m",
+             "of node: where its metrics are shown, as 9464/metrics; default: nowhere")
+          .argument("PORT/PATH"));
   options.addOption(
       Option("node", "n", "control address of the node to call; of an edge its readiness address")
           .argument("HOST:PORT"));
@@ -63,6 +67,7 @@
   if (name == "help") helpRequested_ = true;
   if (name == "version") versionRequested_ = true;
   if (name == "log-level") options_.logLevel = value;
+  if (name == "metrics") options_.metricsAddress = value;
   if (name == "node") options_.nodeAddress = value;
   if (name == "base") options_.baseRevision = value;
   if (name == "data") options_.dataDirectory = value;
--- a/src/cli/command_options.hpp
+++ b/src/cli/command_options.hpp
@@ -9,6 +9,7 @@
 /// Values of the command-line options, defaults where an option is not given.
 struct CommandOptions {
   std::string logLevel = "information";        ///< --log-level, a name that Poco::Logger knows
+  std::string metricsAddress;                  ///< --metrics, PORT/PATH; empty: none
   std::string nodeAddress = "127.0.0.1:8146";  ///< --node, control address of the node to call
   std::string baseRevision = "0";              ///< --base, 0: there is no configuration yet
   std::string dataDirectory;                   ///< --data, empty: not given
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <utility>
 
 #include "cli/commands.hpp"
@@ -64,6 +65,13 @@
   Poco::Logger::root().setChannel(channel);
 }
 
+std::optional<node::MetricsAddress> readMetricsAddress(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  const auto address = node::parseMetricsAddress(text);
+  if (!address) throw UsageError("--metrics: '" + text + "' is not of the form PORT/PATH");
+  return address;
+}
+
 void runUntilStopped(node::Settings settings, const std::string& settingsPath) {
   event::EventLoop loop;
   installSignalHandlers(loop);
@@ -86,9 +94,11 @@
     std::cerr << "merlingauge: " << error->message() << "\n";
     return ExitStatus::configuration;
   }
+  auto& settings = std::get<node::Settings>(loaded);
+  settings.metrics = readMetricsAddress(options.metricsAddress);
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    runUntilStopped(std::get<node::Settings>(std::move(loaded)), path);
+    runUntilStopped(std::move(settings), path);
   } catch (const Poco::Exception& error) {
     std::cerr << "merlingauge: " << error.displayText() << "\n";
     return ExitStatus::software;
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -141,13 +141,12 @@
   // No request from here asks for another protocol.
   if (status == HTTPResponse::HTTP_SWITCHING_PROTOCOLS) return std::nullopt;
   const bool isFinal = status >= HTTPResponse::HTTP_OK;
-  const bool endsByClose = framing->kind == FramingKind::untilClose;
-  if (isFinal && endsByClose && !pool_.answersMayEndByClose()) return std::nullopt;
   // An answer reaches exactly its caller: without our Attempt-Id these are surplus or late bytes of
   // another exchange, and nothing on this connection can be trusted.
   if (isFinal && !attemptId_.empty() && response.get("Attempt-Id", "") != attemptId_) {
     return std::nullopt;
   }
+  if (isFinal && !pool_.acceptsFraming(*framing, attemptId_)) return std::nullopt;
   return framing;
 }
 
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -14,7 +14,17 @@
 }  // namespace
 
 ConnectionPool::ConnectionPool(event::EventLoop& loop, Options options)
-    : loop_(loop), options_(options), sweepTimer_(loop) {}
+    : loop_(loop), options_(std::move(options)), sweepTimer_(loop) {}
+
+bool ConnectionPool::acceptsFraming(const BodyFraming& framing,
+                                    const std::string& attemptId) const {
+  const bool accepted = options_.answersMayEndByClose || framing.kind != FramingKind::untilClose;
+  if (!accepted && options_.invariants) {
+    options_.invariants->check(ResponseInvariant::nodesFrameResponses, false,
+                               "response to " + attemptId + " of another node");
+  }
+  return accepted;
+}
 
 ClientExchange::Ptr ConnectionPool::startExchange(const Poco::Net::SocketAddress& to,
                                                   const Poco::Net::HTTPRequest& request,
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -16,6 +17,7 @@
 #include "event/timer.hpp"
 #include "http/body_framing.hpp"
 #include "http/client_exchange.hpp"
+#include "http/response_invariants.hpp"
 #include "http/tcp_connection.hpp"
 
 namespace merlingauge::http {
@@ -37,10 +39,13 @@
     /// Whether the end of the connection may complete an answer. Other nodes always give a length
     /// or chunks: from them such an answer is refused, since their process may have ended half-way.
     bool answersMayEndByClose = true;
+    /// Counts such refusals; may be null.
+    std::shared_ptr<ResponseInvariantCounters> invariants;
   };
 
   ConnectionPool(event::EventLoop& loop, Options options);
-  [[nodiscard]] bool answersMayEndByClose() const { return options_.answersMayEndByClose; }
+  /// Whether an answer with this framing is taken, by `answersMayEndByClose`.
+  [[nodiscard]] bool acceptsFraming(const BodyFraming& framing, const std::string& attemptId) const;
 
   /// Begins an exchange with the server at `to`, on an idle connection or a new one. `maxIdleTime`:
   /// a connection idle for longer isn't used for this exchange, but gives way to a new one.
--- a/src/http/listener_context.hpp
+++ b/src/http/listener_context.hpp
@@ -8,11 +8,19 @@
 
 #include "base/errors.hpp"
 #include "base/time.hpp"
+#include "http/response_invariants.hpp"
 
 namespace merlingauge::http {
 
 class ServerExchange;
 
+/// How the responses on a listener ended, since the start of the process.
+struct ResponseEndCounts {
+  std::uint64_t whole = 0;       ///< ended in order
+  std::uint64_t partial = 0;     ///< ended half-way by this node
+  std::uint64_t callerGone = 0;  ///< the caller left before its response was whole
+};
+
 /// What a connection takes from its caller. Each may change while the listener runs; a request is
 /// checked by the limits in force when its bytes come.
 struct ConnectionLimits {
@@ -31,6 +39,10 @@
 /// refer to must outlive the connections. Thread: the event-loop thread only.
 struct ListenerContext {
   ConnectionLimits limits;
+  /// Never null. A node shares one between all its listeners.
+  std::shared_ptr<ResponseInvariantCounters> invariants =
+      std::make_shared<ResponseInvariantCounters>();
+  ResponseEndCounts responseEnds;
   /// Graceful shutdown: the last answer of each connection carries `Connection: close`.
   bool draining = false;
   /// A request whose turn it is, as soon as its head is there. The receiver keeps the exchange, or
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/server_connection.hpp"
 
+#include <Poco/Logger.h>
 #include <Poco/Net/HTTPMessage.h>
 
 #include <utility>
@@ -65,17 +66,37 @@
   over_ = true;
   const auto self = shared_from_this();  // the listener lets go of it in onClosed_
   timer_.cancel();
+  checkPartialAnswer();
   connection_->close();
   abandonExchanges();
   if (onClosed_) onClosed_();
 }
 
+void ServerConnection::checkPartialAnswer() const {
+  if (exchanges_.empty()) return;
+  auto& front = *exchanges_.front();
+  const bool closeCompletesIt = front.headSent() && front.endsByClose();
+  front.check(ResponseInvariant::partialEndsInReset,
+              !closeCompletesIt || connection_->isAbortive() || connection_->isClosed());
+}
+
+void ServerConnection::countEnd(const ServerExchange& exchange) const {
+  auto& counts = context_->responseEnds;
+  if (!exchange.aborted_) {
+    ++counts.whole;
+    return;
+  }
+  ++counts.partial;
+  Poco::Logger::get("http").warning("cut short: " + exchange.describeForLog());
+}
+
 // Nobody waits for their answers any more: whatever runs of them ends.
 void ServerConnection::abandonExchanges() {
   const auto abandoned = std::exchange(exchanges_, {});
   for (const auto& exchange : abandoned) {
     const bool wasRunning = !exchange->over_;
     exchange->over_ = true;
+    if (wasRunning) ++context_->responseEnds.callerGone;
     if (wasRunning && exchange->onClientGone) exchange->onClientGone();
   }
 }
@@ -283,6 +304,7 @@
 // its framing, or, where the close would be its end, there is a reset in place of that.
 void ServerConnection::closeAfterPartialAnswer(const ServerExchange& exchange) {
   if (exchange.endsByClose()) {
+    checkPartialAnswer();
     connection_->abortAfterFlush();
   } else {
     connection_->closeAfterFlush();
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -58,6 +58,8 @@
   [[nodiscard]] std::size_t unsentBytes() const { return connection_->unsentBytes(); }
   [[nodiscard]] bool closedByPeer() const { return connection_->closedByPeer(); }
   void write(std::string_view bytes) { connection_->write(bytes); }
+  [[nodiscard]] ResponseInvariantCounters& invariants() const { return *context_->invariants; }
+  void countEnd(const ServerExchange& exchange) const;
   /// The answer under way ends by the close: until it is complete, every other end is a reset.
   void setAbortiveClose() { connection_->setAbortiveClose(true); }
   /// Reads on only while less than the limit of a request's body is buffered.
@@ -88,6 +90,8 @@
   void leaveConnection();
   void beginNextAnswer();
   void abandonExchanges();
+  /// Before the connection ends by close().
+  void checkPartialAnswer() const;
   [[nodiscard]] bool mayBeginNext() const;
   void expectHead();
   void startTimer(Duration wait);
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -17,6 +17,8 @@
 using Poco::Net::HTTPResponse;
 
 namespace {
+constexpr const char* kAttemptIdHeader = "Attempt-Id";
+
 std::string retryAfterSeconds(int millis) {
   constexpr double kMillisPerSecond = 1000.0;
   std::array<char, 32> text{};
@@ -76,19 +78,57 @@
   response.setVersion(HTTPMessage::HTTP_1_1);
   if (hasFramingHeaders(response.getStatus())) setFramingHeaders(responseFraming_, response);
   if (closeAfterResponse_) response.set(HTTPMessage::CONNECTION, "close");
+  check(ResponseInvariant::framedBeforeClose, !endsByClose() || isHttp10());
+  const auto& requestId = request.get(kAttemptIdHeader, "");
+  const bool answersRequest = requestId.empty() || response.get(kAttemptIdHeader, "") == requestId;
+  if (!check(ResponseInvariant::answersItsRequest, answersRequest)) {
+    abortResponse();
+    return;
+  }
   if (endsByClose() && connection->isFront(*this)) connection->setAbortiveClose();
   write(serializeHead(response));
 }
 
 void ServerExchange::sendBody(std::string_view bytes) {
   if (over_ || isHeadRequest_) return;
+  bodyBytesSent_ += bytes.size();
   std::string wire;
   appendBody(responseFraming_.kind, bytes, wire);
   write(wire);
 }
 
+// Whether the body has as many bytes as its head says.
+bool ServerExchange::hasDeclaredLength() const {
+  switch (responseFraming_.kind) {
+    case FramingKind::none:
+      return bodyBytesSent_ == 0;
+    case FramingKind::contentLength:
+      return isHeadRequest_ || bodyBytesSent_ == responseFraming_.length;
+    case FramingKind::chunked:
+    case FramingKind::untilClose:
+      return true;
+  }
+  return false;
+}
+
+void ServerExchange::endRelayedResponse(const MessageSummary& source) {
+  if (connection_.expired() || over_) return;
+  const bool isWholeSource = check(ResponseInvariant::sourceIsWhole, isWhole(source.end));
+  const bool isSourcesBody = check(ResponseInvariant::bodyIsTheSources,
+                                   isHeadRequest_ || bodyBytesSent_ == source.bodyBytes);
+  if (isWholeSource && isSourcesBody) {
+    endResponse();
+  } else {
+    abortResponse();
+  }
+}
+
 void ServerExchange::endResponse() {
   if (connection_.expired() || over_) return;
+  if (!check(ResponseInvariant::declaredLength, hasDeclaredLength())) {
+    abortResponse();
+    return;
+  }
   std::string wire;
   if (!isHeadRequest_) appendBodyEnd(responseFraming_.kind, wire);
   write(wire);
@@ -101,9 +141,21 @@
   finish();
 }
 
+bool ServerExchange::check(ResponseInvariant invariant, bool holds) {
+  const auto connection = connection_.lock();
+  if (holds || !connection) return holds;
+  return connection->invariants().check(invariant, holds, describeForLog());
+}
+
+std::string ServerExchange::describeForLog() const {
+  return "response to " + request.get(kAttemptIdHeader, "a request without id") + ", framing " +
+         nameOf(responseFraming_.kind) + ", " + std::to_string(bodyBytesSent_) + " body bytes";
+}
+
 void ServerExchange::finish() {
   over_ = true;
   const auto connection = connection_.lock();
+  connection->countEnd(*this);
   if (connection->isFront(*this)) connection->onFrontFinished();
 }
 
@@ -112,7 +164,9 @@
   HTTPResponse response(HTTPMessage::HTTP_1_1, static_cast<HTTPResponse::HTTPStatus>(status),
                         reason);
   if (!contentType.empty()) response.set(HTTPMessage::CONTENT_TYPE, contentType);
-  if (const auto id = request.get("Attempt-Id", ""); !id.empty()) response.set("Attempt-Id", id);
+  if (const auto id = request.get(kAttemptIdHeader, ""); !id.empty()) {
+    response.set(kAttemptIdHeader, id);
+  }
   for (const auto& [name, value] : extra) response.set(name, value);
   const auto framing = body.empty() ? FramingKind::none : FramingKind::contentLength;
   sendHead(response, {framing, body.size()});
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -15,6 +15,8 @@
 #include "base/errors.hpp"
 #include "base/time.hpp"
 #include "http/body_framing.hpp"
+#include "http/message_end.hpp"
+#include "http/response_invariants.hpp"
 
 namespace merlingauge::http {
 
@@ -63,6 +65,10 @@
   void sendBody(std::string_view bytes);
   /// Ends the answer in order.
   void endResponse();
+  /// Ends an answer that was relayed from `source`, in order if that ended whole.
+  void endRelayedResponse(const MessageSummary& source);
+  /// Checks one of the process's invariants for this answer; returns `holds`.
+  bool check(ResponseInvariant invariant, bool holds);
   /// Ends the answer half-way, and the connection with it, so that it can't look complete.
   void abortResponse();
   /// A complete answer in one go.
@@ -91,6 +97,8 @@
   [[nodiscard]] bool mustCloseAfter(const ServerConnection& connection) const;
   [[nodiscard]] bool hasFramingHeaders(int status) const;
   [[nodiscard]] bool isHttp10() const;
+  [[nodiscard]] bool hasDeclaredLength() const;
+  [[nodiscard]] std::string describeForLog() const;
   /// The end of the connection completes the answer.
   [[nodiscard]] bool endsByClose() const {
     return responseFraming_.kind == FramingKind::untilClose;
@@ -102,6 +110,7 @@
   bool dispatched_ = false;  // handed to whoever serves it
   bool aborted_ = false;
   BodyFraming responseFraming_;
+  std::uint64_t bodyBytesSent_ = 0;
   bool headSent_ = false;
   bool over_ = false;
   bool closeAfterResponse_ = false;
--- a/src/http/tcp_connection.hpp
+++ b/src/http/tcp_connection.hpp
@@ -84,6 +84,7 @@
   [[nodiscard]] bool closedByPeer();
 
   [[nodiscard]] bool isOpen() const { return state_ == State::open; }
+  [[nodiscard]] bool isAbortive() const { return abortive_; }
   [[nodiscard]] bool isClosed() const { return state_ == State::closed; }
   [[nodiscard]] std::size_t unsentBytes() const { return output_.size() - sentBytes_; }
 
--- a/src/node/listeners.cpp
+++ b/src/node/listeners.cpp
@@ -31,6 +31,7 @@
 Listeners::Listeners(event::EventLoop& loop, const Settings& settings,
                      const ListenerHandlers& handlers)
     : loop_(loop),
+      invariants_(handlers.invariants),
       connectionBudget_(static_cast<std::size_t>(
           std::max(kMinConnectionBudget, settings.maxDescriptors - kReservedDescriptors))) {
   openProxyListeners(settings, handlers);
@@ -43,6 +44,7 @@
   if (address.empty()) return nullptr;
   auto listener =
       std::make_unique<http::HttpListener>(loop_, SocketAddress(address), maxConnections);
+  listener->context->invariants = invariants_;
   listener->context->onExchange = std::move(serve);
   listener->context->onRejected = [](ErrorKind kind) {
     Poco::Logger::get("http").debug(std::string("rejected: ") + responseFor(kind).message);
@@ -93,6 +95,17 @@
   }
 }
 
+std::vector<std::pair<const char*, const http::HttpListener*>> Listeners::opened() const {
+  std::vector<std::pair<const char*, const http::HttpListener*>> listeners = {
+      {"egress", egress_.get()},
+      {"ingress", ingress_.get()},
+      {"readiness", readiness_.get()},
+      {"control", control_.get()},
+      {"peer", peer_.get()}};
+  std::erase_if(listeners, [](const auto& entry) { return entry.second == nullptr; });
+  return listeners;
+}
+
 void Listeners::applyClientLimits(const config::ClientLimits& limits) {
   if (!egress_) return;
   auto& own = egress_->context->limits;
--- a/src/node/listeners.hpp
+++ b/src/node/listeners.hpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "config/route_table.hpp"
 #include "control/control_api.hpp"
@@ -23,6 +25,8 @@
   proxy::Ingress* ingress;  ///< the same
   control::ControlApi& controlApi;
   PeerEndpoint& peerEndpoint;
+  /// Shared by the connections of all listeners.
+  std::shared_ptr<http::ResponseInvariantCounters> invariants;
 };
 
 /// Opens the listeners that the settings name and owns them. Event-loop thread only.
@@ -36,6 +40,8 @@
 
   /// Responses to callers and to other nodes' requests carry Connection: close from now on.
   void drain();
+  /// Those that are open, by the names of their metrics.
+  [[nodiscard]] std::vector<std::pair<const char*, const http::HttpListener*>> opened() const;
   /// Limits for callers, from the configuration.
   void applyClientLimits(const config::ClientLimits& limits);
 
@@ -48,6 +54,7 @@
   void openPeerListener(const Settings& settings, PeerEndpoint& peerEndpoint);
 
   event::EventLoop& loop_;
+  std::shared_ptr<http::ResponseInvariantCounters> invariants_;
   std::size_t connectionBudget_;                   // over all listeners
   std::unique_ptr<http::HttpListener> egress_;     // requests of callers: egress or frontend
   std::unique_ptr<http::HttpListener> ingress_;    // requests of other nodes for the server here
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -71,15 +71,29 @@
   return self;
 }
 
-http::ConnectionPool::Options upstreamPoolOptions(const Settings& settings) {
+http::ConnectionPool::Options upstreamPoolOptions(
+    const Settings& settings, const std::shared_ptr<http::ResponseInvariantCounters>& invariants) {
+  http::ConnectionPool::Options options;
+  options.connectTimeout = kPeerConnectTimeout;
+  options.invariants = invariants;
   if (settings.isGateway()) {
-    return {kPeerConnectTimeout, kEdgeIdleKeptFor, kEdgeIdleKeptPerAddress, kMachineGoneAfter};
+    options.idleTimeout = kEdgeIdleKeptFor;
+    options.maxIdlePerAddress = kEdgeIdleKeptPerAddress;
+    options.tcpUserTimeout = kMachineGoneAfter;
+  } else {
+    options.idleTimeout = kIdleKeptFor;
+    options.maxIdlePerAddress = kIdleKeptPerAddress;
+    options.answersMayEndByClose = kNodesEndByClose;
   }
-  return {kPeerConnectTimeout, kIdleKeptFor, kIdleKeptPerAddress, {}, kNodesEndByClose};
+  return options;
 }
 
 http::ConnectionPool::Options serverPoolOptions() {
-  return {kServerConnectTimeout, kIdleKeptFor, kIdleKeptPerAddress, {}};
+  http::ConnectionPool::Options options;
+  options.connectTimeout = kServerConnectTimeout;
+  options.idleTimeout = kIdleKeptFor;
+  options.maxIdlePerAddress = kIdleKeptPerAddress;
+  return options;
 }
 
 Duration spacing(double costMs, const Settings& settings) {
@@ -116,9 +130,9 @@
       settings_(std::move(settings)),
       settingsPath_(std::move(settingsPath)),
       seed_(randomSeed()),
-      upstreamPool_(loop, upstreamPoolOptions(settings_)),
+      upstreamPool_(loop, upstreamPoolOptions(settings_, invariants_)),
       serverPool_(loop, serverPoolOptions()),
-      rpc_(loop, settings_.internalPort),
+      rpc_(loop, settings_.internalPort, invariants_),
       gossipEnvironment_(loop, rpc_),
       registry_(selfInfo(settings_), newIncarnation()),
       store_(openStore()),
@@ -141,20 +155,28 @@
       voterRole_(settings_, lifecycle_, registry_, registerService_, gossip_, controlNodes_,
                  voterSet_),
       readiness_(settings_, lifecycle_, registerService_, gossip_),
-      statusReport_({loop_, settings_, registry_, registerService_, gossip_, rpc_, configApplier_,
-                     controlNodes_, readiness_, voterSet_, upstreamPool_, serverPool_, store_.get(),
-                     egress_.get(), ingress_.get()}),
+      statusReport_(statusSources()),
       controlApiBindings_({loop_, heartbeatRouter_, readiness_, statusReport_, replicationWaiter_,
                            gossip_, ingress_.get()}),
       controlApi_(loop_, controlApiBindings_, registerService_, registry_, configChangeLimits()),
       peerEndpoint_(loop_, rpc_, gossip_, registerService_),
-      listeners_(loop_, settings_, {egress_.get(), ingress_.get(), controlApi_, peerEndpoint_}),
+      listeners_(loop_, settings_,
+                 {egress_.get(), ingress_.get(), controlApi_, peerEndpoint_, invariants_}),
+      metricsReport_(statusSources(), listeners_),
+      metricsEndpoint_(loop_, settings_, metricsReport_),
       shutdown_(loop_, settings_, lifecycle_,
                 {listeners_, registry_, registerService_, gossip_, voterSet_, egress_.get(),
                  ingress_.get()}) {}
 
 Node::~Node() = default;
 
+StatusSources Node::statusSources() {
+  return {loop_,        settings_,     registry_,      registerService_,
+          gossip_,      rpc_,          configApplier_, controlNodes_,
+          readiness_,   voterSet_,     upstreamPool_,  serverPool_,
+          store_.get(), egress_.get(), ingress_.get(), *invariants_};
+}
+
 std::unique_ptr<storage::DurableStore> Node::openStore() {
   if (!settings_.isControlNode()) return nullptr;
   const int megabytes = std::clamp(settings_.diskMb / kStoreDiskPart, kMinStoreMb, kMaxStoreMb);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -24,6 +24,8 @@
 #include "node/heartbeat_router.hpp"
 #include "node/lifecycle.hpp"
 #include "node/listeners.hpp"
+#include "node/metrics_endpoint.hpp"
+#include "node/metrics_report.hpp"
 #include "node/peer_endpoint.hpp"
 #include "node/proxy_bindings.hpp"
 #include "node/proxy_node_feed.hpp"
@@ -66,6 +68,7 @@
   void onPeerProgress() override;
   void onFirstContact(const NodeId& peer) override;
   void onLeaseChange(bool held) override;
+  [[nodiscard]] StatusSources statusSources();
   [[nodiscard]] std::unique_ptr<storage::DurableStore> openStore();
   [[nodiscard]] std::unique_ptr<proxy::Egress> createEgress();
   [[nodiscard]] std::unique_ptr<proxy::Ingress> createIngress();
@@ -78,6 +81,9 @@
   std::uint64_t seed_;  // another one in each run; each part that draws has its own from it
   Lifecycle lifecycle_;
 
+  std::shared_ptr<http::ResponseInvariantCounters> invariants_ =
+      std::make_shared<http::ResponseInvariantCounters>();
+
   // What the node knows and how it talks to others. Later members refer to earlier ones.
   http::ConnectionPool upstreamPool_;  // of the egress
   http::ConnectionPool serverPool_;    // of the ingress
@@ -114,6 +120,8 @@
   control::ControlApi controlApi_;
   PeerEndpoint peerEndpoint_;
   Listeners listeners_;
+  MetricsReport metricsReport_;
+  MetricsEndpoint metricsEndpoint_;
   GracefulShutdown shutdown_;
 };
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -165,6 +166,16 @@
   return "settings: " + (field.empty() ? reason : field + ": " + reason);
 }
 
+std::optional<MetricsAddress> parseMetricsAddress(const std::string& text) {
+  MetricsAddress address;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, address.port);
+  if (parsed.ec != std::errc() || address.port == 0) return std::nullopt;
+  address.path.assign(parsed.ptr, end);
+  if (address.path.empty() || address.path.front() != '/') return std::nullopt;
+  return address;
+}
+
 SettingsResult parseSettings(const std::string& text) {
   const auto document = parseJson(text);
   if (!document) return SettingsError{"", "not JSON"};
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -12,6 +13,15 @@
 
 namespace merlingauge::node {
 
+/// Where a node shows its metrics.
+struct MetricsAddress {
+  std::uint16_t port = 0;
+  std::string path;  ///< begins with a slash
+};
+
+/// Reads PORT/PATH, as in 9464/metrics; nullopt where it has another form.
+std::optional<MetricsAddress> parseMetricsAddress(const std::string& text);
+
 /// The settings of one process, checked. Each field names the key that it comes from; a default
 /// holds where the key is missing. Addresses are IP:PORT, empty where the node serves no such
 /// listener.
@@ -54,6 +64,9 @@
   /// policy_terms.timing_bounds.retry_window_s: over which the retry budget is counted.
   Duration retryWindow = std::chrono::seconds(10);
 
+  /// Not in the file, but --metrics of the command line; nullopt: no metrics are shown.
+  std::optional<MetricsAddress> metrics;
+
   /// Where callers connect, in whichever deployment; empty where they don't.
   [[nodiscard]] const std::string& clientAddress() const {
     return frontendAddress.empty() ? egressAddress : frontendAddress;
--- a/src/node/status_report.cpp
+++ b/src/node/status_report.cpp
@@ -51,6 +51,7 @@
   }
   if (sources_.egress != nullptr) report["egress"] = egress();
   if (sources_.ingress != nullptr) report["ingress"] = ingress();
+  report["violations"] = violations();
   return report;
 }
 
@@ -140,6 +141,17 @@
   return services;
 }
 
+// Of each invariant, also those never violated.
+json StatusReport::violations() const {
+  using http::ResponseInvariant;
+  json report = json::object();
+  for (std::size_t i = 0; i < static_cast<std::size_t>(ResponseInvariant::count); ++i) {
+    const auto invariant = static_cast<ResponseInvariant>(i);
+    report[http::nameOf(invariant)] = sources_.invariants.violations(invariant);
+  }
+  return report;
+}
+
 json StatusReport::ingress() const {
   const auto& stats = sources_.ingress->stats();
   return {{"admitted", stats.admitted},      {"queued", stats.queued},
--- a/src/node/status_report.hpp
+++ b/src/node/status_report.hpp
@@ -37,6 +37,7 @@
   const storage::DurableStore* store;        ///< null on a node that holds no state
   const proxy::Egress* egress;               ///< null on a node without callers
   const proxy::Ingress* ingress;             ///< null on a node without a server beside it
+  const http::ResponseInvariantCounters& invariants;
 };
 
 /// Keys and their meanings are described in docs/operations.md; operators' tools read them, so they
@@ -54,6 +55,7 @@
   [[nodiscard]] nlohmann::json egress() const;
   [[nodiscard]] nlohmann::json egressServices() const;
   [[nodiscard]] nlohmann::json ingress() const;
+  [[nodiscard]] nlohmann::json violations() const;
 
   StatusSources sources_;
 };
--- a/src/proxy/egress_request.cpp
+++ b/src/proxy/egress_request.cpp
@@ -17,6 +17,7 @@
 using http::BodyFraming;
 using http::ClientExchange;
 using http::FramingKind;
+using http::ResponseInvariant;
 using http::ServerExchange;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
@@ -247,7 +248,8 @@
   }
   attempt->heldBody.append(bytes);
   bytes.clear();
-  if (!streaming_ && attempt->heldBody.size() > kMaxHeldBytes) beginStream(attempt);
+  const bool isLong = attempt->heldBody.size() > kMaxHeldBytes;
+  if (!streaming_ && isLong && isSealed(*attempt)) beginStream(attempt);
   if (streaming_ == attempt) {
     client_->sendBody(attempt->heldBody);
     attempt->heldBody.clear();
@@ -270,8 +272,10 @@
   }
   egress_.endpoints.state(attempt->endpoint).reachability.onReachable();
   if (!isForClient(attempt)) return;
+  const auto source = attempt->exchange->responseSummary().value_or(http::MessageSummary{});
   if (!streaming_) {
-    if (isUnprovenRejection(*attempt->response)) {
+    const bool mayBeSent = isWholeForClient(*attempt, source);
+    if (!mayBeSent || isUnprovenRejection(*attempt->response)) {
       onAttemptEnded(*attempt, AttemptOutcome::maybeExecuted);
       return;
     }
@@ -281,7 +285,21 @@
   abandonOtherAttempts(attempt);
   const auto client = client_;
   finish();
-  client->endResponse();
+  client->endRelayedResponse(source);
+}
+
+// Checked before the head leaves: nothing can take it back.
+bool EgressRequest::isWholeForClient(const EgressAttempt& attempt,
+                                     const http::MessageSummary& source) {
+  const bool isWholeSource =
+      client_->check(ResponseInvariant::sourceIsWhole, http::isWhole(source.end));
+  const bool isSourcesBody = client_->check(ResponseInvariant::bodyIsTheSources,
+                                            attempt.heldBody.size() == source.bodyBytes);
+  return isWholeSource && isSourcesBody && isSealed(attempt);
+}
+
+bool EgressRequest::isSealed(const EgressAttempt& attempt) {
+  return client_->check(ResponseInvariant::successIsSealed, !isUnsealedSuccess(*attempt.response));
 }
 
 void EgressRequest::onRejected(const EgressAttempt& attempt, AttemptOutcome rejection) {
--- a/src/proxy/egress_request.hpp
+++ b/src/proxy/egress_request.hpp
@@ -78,6 +78,8 @@
   // The response to the client.
   [[nodiscard]] bool isForClient(const AttemptPtr& attempt) const;
   void beginStream(const AttemptPtr& attempt);
+  bool isWholeForClient(const EgressAttempt& attempt, const http::MessageSummary& source);
+  bool isSealed(const EgressAttempt& attempt);
   void sendWhole(EgressAttempt& attempt);
   void respondError(ErrorKind kind);
   void cutShort();
--- a/src/proxy/ingress_request.cpp
+++ b/src/proxy/ingress_request.cpp
@@ -216,6 +216,7 @@
 
 void IngressRequest::onResponseComplete() {
   recordResponse();
+  const auto source = upstream_->responseSummary().value_or(http::MessageSummary{});
   upstream_ = nullptr;
   if (notExecuted_ && resent_) {
     failUnknownOutcome();
@@ -227,7 +228,7 @@
   }
   const auto client = client_;
   finish(ingress_.loop.now() - sentAt_);
-  client->endResponse();
+  client->endRelayedResponse(source);
 }
 
 void IngressRequest::onUpstreamFailed(ClientExchange::Failure failure) {
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -32,6 +32,17 @@
 constexpr bool kPeersEndByClose = false;
 // A pooled connection idle for longer is not used again: the peer may just be closing it.
 constexpr Duration kMaxIdleForReuse = std::chrono::seconds(10);
+
+http::ConnectionPool::Options poolOptions(
+    std::shared_ptr<http::ResponseInvariantCounters> invariants) {
+  http::ConnectionPool::Options options;
+  options.connectTimeout = kConnectTimeout;
+  options.idleTimeout = kIdleTimeout;
+  options.maxIdlePerAddress = kIdleConnectionsPerPeer;
+  options.answersMayEndByClose = kPeersEndByClose;
+  options.invariants = std::move(invariants);
+  return options;
+}
 }  // namespace
 
 struct PeerRpc::PendingCall {
@@ -42,10 +53,9 @@
   ResponseCallback onResponse;
 };
 
-PeerRpc::PeerRpc(event::EventLoop& loop, std::uint16_t port)
-    : loop_(loop),
-      port_(port),
-      pool_(loop, {kConnectTimeout, kIdleTimeout, kIdleConnectionsPerPeer, {}, kPeersEndByClose}) {}
+PeerRpc::PeerRpc(event::EventLoop& loop, std::uint16_t port,
+                 std::shared_ptr<http::ResponseInvariantCounters> invariants)
+    : loop_(loop), port_(port), pool_(loop, poolOptions(std::move(invariants))) {}
 
 PeerRpc::~PeerRpc() {
   for (auto& [id, call] : pendingCalls_) {
--- a/src/rpc/peer_rpc.hpp
+++ b/src/rpc/peer_rpc.hpp
@@ -35,7 +35,9 @@
   /// Nothing where no response with status 200 and a JSON body came in time.
   using ResponseCallback = std::function<void(std::optional<nlohmann::json>)>;
   /// `port`: the internal port, the same on all nodes. The loop must outlive this object.
-  PeerRpc(event::EventLoop& loop, std::uint16_t port);
+  /// `invariants` counts refused responses; may be null.
+  PeerRpc(event::EventLoop& loop, std::uint16_t port,
+          std::shared_ptr<http::ResponseInvariantCounters> invariants = nullptr);
   ~PeerRpc();
   PeerRpc(const PeerRpc&) = delete;
   PeerRpc& operator=(const PeerRpc&) = delete;
--- a/tests/loopback/proxy_path.cpp
+++ b/tests/loopback/proxy_path.cpp
@@ -60,10 +60,15 @@
 }
 
 http::ConnectionPool::Options egressPoolOptions(bool gateway) {
-  using std::chrono::milliseconds;
-  using std::chrono::seconds;
-  if (gateway) return {milliseconds(300), seconds(9), 8, milliseconds(700)};
-  return {milliseconds(300), seconds(20), 64, {}, false};
+  http::ConnectionPool::Options options;
+  options.connectTimeout = std::chrono::milliseconds(300);
+  options.answersMayEndByClose = gateway;
+  if (gateway) {
+    options.idleTimeout = std::chrono::seconds(9);
+    options.maxIdlePerAddress = 8;
+    options.tcpUserTimeout = std::chrono::milliseconds(700);
+  }
+  return options;
 }
 
 }  // namespace
@@ -157,9 +162,9 @@
 
 void ProxyPath::addIngress(int number, const membership::Instance& server) {
   auto& side = sides_.at(static_cast<std::size_t>(number));
-  side.pool = std::make_unique<http::ConnectionPool>(
-      loop_, http::ConnectionPool::Options{
-                 std::chrono::milliseconds(400), std::chrono::seconds(20), 64, {}});
+  http::ConnectionPool::Options poolOptions;
+  poolOptions.connectTimeout = std::chrono::milliseconds(400);
+  side.pool = std::make_unique<http::ConnectionPool>(loop_, poolOptions);
   side.registry = std::make_unique<membership::InstanceRegistry>(nodeInfo("s"), Incarnation{1});
   side.registry->handleHeartbeat(server, loop_.now());
   side.instances = std::make_unique<Instances>(*side.registry);
