--- a/tests/loopback/node_processes.hpp
+++ b/tests/loopback/node_processes.hpp
@@ -10,9 +10,11 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "loopback/http_client.hpp"
 
@@ -30,14 +32,19 @@
     folder_ = std::filesystem::temp_directory_path() / ("mesh-" + std::to_string(::getpid()));
     std::filesystem::create_directories(folder_);
   }
+  /// Ends the whole program as failed where a node has logged a violated invariant.
   ~NodeProcesses() {
     for (const auto& [ip, pid] : running_) ::kill(pid, SIGKILL);
     for (const auto& [ip, pid] : running_) ::waitpid(pid, nullptr, 0);
+    const bool violated = hasViolatedInvariants();
     std::filesystem::remove_all(folder_);
+    if (violated) std::abort();
   }
 
   /// Changes the settings of the nodes started from now on.
   std::function<void(json&)> adjust;
+  /// Further arguments of the program, behind `node`.
+  std::vector<std::string> arguments;
   [[nodiscard]] pid_t pidOf(const std::string& ip) const { return running_.at(ip); }
 
   enum class Kind { core, sidecar, edge };
@@ -90,7 +97,7 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // however the test ends, its nodes do too
       ::setenv("MERLINGAUGE_SETTINGS", path.c_str(), 1);
       if (std::freopen(log.c_str(), "a", stderr) == nullptr) ::_exit(126);
-      ::execl(program_.c_str(), program_.c_str(), "node", nullptr);
+      execute();
       ::_exit(127);
     }
     running_[ip] = pid;
@@ -115,6 +122,30 @@
   void wipe(const std::string& ip) { std::filesystem::remove_all(folder_ / ip); }
 
  private:
+  // Prints the lines that say so.
+  [[nodiscard]] bool hasViolatedInvariants() const {
+    bool found = false;
+    for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+      if (entry.path().extension() != ".log") continue;
+      std::ifstream log(entry.path());
+      for (std::string line; std::getline(log, line);) {
+        if (line.find("is violated: ") == std::string::npos) continue;
+        found = true;
+        std::cerr << entry.path().stem().string() << ": " << line << "\n";
+      }
+    }
+    return found;
+  }
+
+  void execute() const {
+    std::vector<std::string> words = {program_, "node"};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> argv;
+    for (auto& word : words) argv.push_back(word.data());
+    argv.push_back(nullptr);
+    ::execv(program_.c_str(), argv.data());
+  }
+
   std::string program_;
   std::string hosts_;
   std::filesystem::path folder_;
