--- a/src/cli/control_client.cpp
+++ b/src/cli/control_client.cpp
@@ -22,6 +22,12 @@
   return colon != std::string::npos && colon > 0 && colon + 1 < address.size() &&
          address.find_first_not_of("0123456789", colon + 1) == std::string::npos;
 }
+
+// Poco reads a body that breaks off like one that ends. A node always announces the length.
+bool isWhole(const Poco::Net::HTTPResponse& response, const std::string& body) {
+  return response.hasContentLength() &&
+         response.getContentLength64() == static_cast<Poco::Int64>(body.size());
+}
 }  // namespace
 
 ControlClient::ControlClient(std::string address) : address_(std::move(address)) {
@@ -58,6 +64,9 @@
     ControlResponse result;
     Poco::StreamCopier::copyToString(session.receiveResponse(response), result.body);
     result.status = response.getStatus();
+    if (!isWhole(response, result.body)) {
+      return ControlFailure{"the answer broke off", requestSent};
+    }
     return result;
   } catch (const Poco::Exception& error) {
     return ControlFailure{error.displayText(), requestSent};
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -87,6 +87,7 @@
   // Two threads, the event loop and storage: one malloc arena serves both, more only cost memory.
   ::mallopt(M_ARENA_MAX, 1);
   openLog(options.logLevel);
+  const auto metrics = readMetricsAddress(options.metricsAddress);
   const char* variable = std::getenv("MERLINGAUGE_SETTINGS");
   const std::string path = variable == nullptr ? "" : variable;
   auto loaded = node::loadSettings(path);
@@ -95,7 +96,7 @@
     return ExitStatus::configuration;
   }
   auto& settings = std::get<node::Settings>(loaded);
-  settings.metrics = readMetricsAddress(options.metricsAddress);
+  settings.metrics = metrics;
   std::signal(SIGPIPE, SIG_IGN);
   try {
     runUntilStopped(std::move(settings), path);
--- a/tests/loopback/fault_matrix_test.cpp
+++ b/tests/loopback/fault_matrix_test.cpp
@@ -219,6 +219,7 @@
   void finish() {
     over_ = true;
     for (const auto& id : asked_) judge(id);
+    if (path_->invariantViolations() > 0) ledger_.addViolation("invariant", "is violated");
     client_.reset();
     for (const auto& l : links_) l->close();
     path_->close();
--- a/tests/loopback/proxy_path.cpp
+++ b/tests/loopback/proxy_path.cpp
@@ -59,8 +59,10 @@
   return {NodeId(id), ZoneName("z"), false, false, false, 0, Incarnation{}};
 }
 
-http::ConnectionPool::Options egressPoolOptions(bool gateway) {
+http::ConnectionPool::Options egressPoolOptions(
+    bool gateway, const std::shared_ptr<http::ResponseInvariantCounters>& invariants) {
   http::ConnectionPool::Options options;
+  options.invariants = invariants;
   options.connectTimeout = std::chrono::milliseconds(300);
   options.answersMayEndByClose = gateway;
   if (gateway) {
@@ -83,7 +85,7 @@
       link_(std::move(link)),
       ledger_(ledger),
       registry_(nodeInfo("n"), Incarnation{1}),
-      pool_(loop, egressPoolOptions(gateway)),
+      pool_(loop, egressPoolOptions(gateway, invariants_)),
       clientAddress_(at(0, kClientPort)) {
   addEgress(gateway);
   for (int i = 0; i < 2; ++i) addServer(i, gateway);
@@ -128,6 +130,7 @@
   const auto behindLink = at(0, kClientPortBehindLink);
   listener_ = std::make_unique<http::HttpListener>(loop_, isLinked ? behindLink : clientAddress_,
                                                    kMaxConnections);
+  listener_->context->invariants = invariants_;
   listener_->context->onExchange = [this](const auto& exchange) { egress_->handle(exchange); };
   listener_->context->mayPipeline = [this](const auto& exchange) {
     return egress_->mayPipeline(exchange);
@@ -177,6 +180,7 @@
   side.listener = std::make_unique<http::HttpListener>(
       loop_, isLinked ? behindLink : at(number, kIngressPort), kMaxConnections);
   auto* ingress = side.ingress.get();
+  side.listener->context->invariants = invariants_;
   side.listener->context->onExchange = [ingress](const auto& exchange) {
     ingress->handle(exchange);
   };
--- a/tests/loopback/proxy_path.hpp
+++ b/tests/loopback/proxy_path.hpp
@@ -47,6 +47,8 @@
   [[nodiscard]] SocketAddress at(int server, std::uint16_t port) const;
   /// How often a request was forwarded to a server.
   [[nodiscard]] std::size_t forwardedRequests() const;
+  /// Of the egress and the ingresses together.
+  [[nodiscard]] std::uint64_t invariantViolations() const { return invariants_->totalViolations(); }
   [[nodiscard]] const auto& servers() const { return servers_; }
   /// Ends what is open. The objects stay, for the loop may still refer to them.
   void close();
@@ -89,6 +91,8 @@
   std::optional<FaultLocation> linked_;
   LinkFactory link_;
   RequestLedger& ledger_;
+  std::shared_ptr<http::ResponseInvariantCounters> invariants_ =
+      std::make_shared<http::ResponseInvariantCounters>();
   membership::InstanceRegistry registry_;
   http::ConnectionPool pool_;
   Routes routes_;
--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -181,6 +181,7 @@
   [[nodiscard]] const std::vector<ReceivedResponse>& responses() const {
     return reader_.responses();
   }
+  [[nodiscard]] std::uint64_t invariantViolations() const { return path_.invariantViolations(); }
   [[nodiscard]] bool timedOut() const { return timedOut_ && !done_; }
 
  private:
@@ -243,6 +244,7 @@
   const auto& scenario = GetParam();
   const auto& play = this->play(scenario);
   ASSERT_FALSE(play.timedOut());
+  EXPECT_EQ(play.invariantViolations(), 0U);
   auto responses = play.responses();
   if (scenario.isKept() || scenario.caller == Caller::pipelined) {
     ASSERT_FALSE(responses.empty());
--- /dev/null
+++ b/tests/rpc/peer_rpc_test.cpp
@@ -0,0 +1,78 @@
+// peer_rpc_test: a part of another node's message is no message: on real connections to a peer that
+// breaks off.
+#include "rpc/peer_rpc.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "event/event_loop.hpp"
+#include "http/response_invariants.hpp"
+
+namespace merlingauge::rpc {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kPeer = "127.0.0.1";
+
+class PeerRpcTest : public testing::Test {
+ protected:
+  // What a call gets from a peer that sends `bytes` and ends by FIN.
+  std::optional<json> resultOf(const std::string& bytes) {
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress(kPeer, 0));
+    std::thread peer([&] {
+      auto socket = server.acceptConnection();
+      std::array<char, 4096> request{};
+      socket.receiveBytes(request.data(), request.size());
+      socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      socket.shutdownSend();
+      while (socket.receiveBytes(request.data(), request.size()) > 0) continue;
+    });
+    std::optional<json> result;
+    {
+      PeerRpc rpc(loop_, server.address().port(), invariants_);
+      rpc.call(NodeId(kPeer), "/news", json::object(), std::chrono::seconds(5),
+               [&](std::optional<json> answer) {
+                 result = std::move(answer);
+                 loop_.stop();
+               });
+      loop_.run();
+    }
+    peer.join();
+    return result;
+  }
+
+  event::EventLoop loop_;
+  std::shared_ptr<http::ResponseInvariantCounters> invariants_ =
+      std::make_shared<http::ResponseInvariantCounters>();
+};
+
+TEST_F(PeerRpcTest, WholeMessage) {
+  EXPECT_EQ(resultOf("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}"), json({{"a", 1}}));
+  EXPECT_EQ(invariants_->totalViolations(), 0U);
+}
+
+// Each would parse: what is missing stands behind it.
+TEST_F(PeerRpcTest, PartOfAnAnnouncedLength) {
+  EXPECT_EQ(resultOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":1}"), std::nullopt);
+}
+
+TEST_F(PeerRpcTest, ChunksWithoutTheLast) {
+  EXPECT_EQ(resultOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n{\"a\":1}\r\n"),
+            std::nullopt);
+}
+
+TEST_F(PeerRpcTest, NoFramingAtAll) {
+  EXPECT_EQ(resultOf("HTTP/1.1 200 OK\r\n\r\n{\"a\":1}"), std::nullopt);
+  EXPECT_EQ(invariants_->violations(http::ResponseInvariant::nodesFrameResponses), 1U);
+}
+
+}  // namespace
+}  // namespace merlingauge::rpc
