--- a/tests/loopback/fault_link.cpp
+++ b/tests/loopback/fault_link.cpp
@@ -172,6 +172,12 @@
 void FaultLink::beginResponse(Connection& connection, bool isTarget) {
   auto& response = connection.response;
   response.head = parseHead(connection.upstream->received);
+  if (response.head && response.head->chunked) {
+    // The steps are parts of the whole, so it is relayed once it is here.
+    const auto size = chunkedBodySize(connection.upstream->received, response.head->size);
+    response.head->bodySize = size.value_or(0);
+    if (!size) response.head.reset();
+  }
   if (!response.head) return;
   response.relayed = 0;
   response.stepsPassed = 0;
--- a/tests/loopback/fault_matrix_test.cpp
+++ b/tests/loopback/fault_matrix_test.cpp
@@ -63,13 +63,15 @@
   bool kept = false;
   bool piped = false;
   bool big = false;
+  bool chunked = false;
   Step step = Step::opened;
   Fault fault = Fault::silence;
   [[nodiscard]] std::string name() const {
     return std::string(gateway ? "gateway " : "mesh ") +
            kFaultLocationNames.at(static_cast<int>(where)) + (once ? " once" : " safe") +
            (kept ? " kept" : " fresh") + (piped ? " piped" : " single") +
-           (big ? " long " : " short ") + kStepNames.at(static_cast<std::size_t>(step)) + " " +
+           (big ? " long " : " short ") + (chunked ? "chunked " : "") +
+           kStepNames.at(static_cast<std::size_t>(step)) + " " +
            kFaults.at(static_cast<std::size_t>(fault)).name;
   }
 };
@@ -81,22 +83,24 @@
     for (const auto where :
          {FaultLocation::client, FaultLocation::ingress, FaultLocation::server}) {
       if (gateway && where == FaultLocation::ingress) continue;
-      for (unsigned flags = 0; flags < 16; ++flags) {
+      for (unsigned flags = 0; flags < 32; ++flags) {
         c.gateway = gateway;
         c.where = where;
         c.once = (flags & 1) != 0;
         c.kept = (flags & 2) != 0;
         c.piped = (flags & 4) != 0;
         c.big = (flags & 8) != 0;
+        c.chunked = (flags & 16) != 0;
         for (unsigned f = 0; f < kFaults.size(); ++f) {
           const auto& row = kFaults.at(f);
           if (where == FaultLocation::client && !row.atClient) continue;
           for (unsigned s = 0; s < static_cast<unsigned>(Step::count); ++s) {
             c.step = static_cast<Step>(s);
             c.fault = static_cast<Fault>(f);
-            // How long the answer is makes no difference before it begins.
-            const bool lengthMatters = c.step >= Step::responseHead;
-            if ((row.steps & bit(c.step)) == 0 || (c.big && !lengthMatters)) continue;
+            // How the answer looks makes no difference before it begins.
+            const bool answerMatters = c.step >= Step::responseHead;
+            if ((row.steps & bit(c.step)) == 0) continue;
+            if ((c.big || c.chunked) && !answerMatters) continue;
             if (c.step == Step::interim && where != FaultLocation::ingress) continue;
             out.push_back(c);
           }
@@ -124,6 +128,13 @@
               loop_, addresses, server, case_.where == FaultLocation::client, ledger_, plan_));
         },
         ledger_);
+    if (c.chunked) {
+      for (const auto& server : path_->servers()) {
+        server->substitute = [](const std::string&, const std::string& correctResponse) {
+          return withChunks(correctResponse);
+        };
+      }
+    }
     loop_.after(fromMillis(kGiveUpMs), [this] {
       if (over_) return;
       ledger_.addViolation("hung", "waits in stage " + std::to_string(stage_));
--- a/tests/loopback/instance_server.cpp
+++ b/tests/loopback/instance_server.cpp
@@ -55,18 +55,34 @@
     connection.received.erase(0, head->size + *bodySize);
     counted = false;
     const bool isLong = text.find("/big ") != std::string::npos;
-    connection.write(responseOf(head->id, isLong, isAddressedHere));
-    if (afterResponse && isAddressedHere) endAfterResponse(connection, afterResponse(head->id));
+    respond(connection, head->id, isLong, isAddressedHere);
   }
 }
 
-void InstanceServer::endAfterResponse(const SocketEndpoint& connection, AfterResponse how) {
-  if (how == AfterResponse::keepOpen) return;
+void InstanceServer::respond(const SocketEndpoint& connection, const std::string& id, bool isLong,
+                             bool isAddressedHere) {
+  const auto endpoint = find(connection);
+  const auto write = [this, endpoint, id, isLong, isAddressedHere] {
+    endpoint->write(responseOf(id, isLong, isAddressedHere));
+    if (afterResponse && isAddressedHere) endAfterResponse(*endpoint, afterResponse(id));
+  };
+  if (delay && isAddressedHere) {
+    loop_.after(delay(id), write);
+  } else {
+    write();
+  }
+}
+
+SocketEndpoint::Ptr InstanceServer::find(const SocketEndpoint& connection) const {
   const auto found =
       std::find_if(connections_.begin(), connections_.end(),
                    [&connection](const auto& open) { return open.get() == &connection; });
-  if (found == connections_.end()) return;
-  loop_.after(kBeforeEnd, [endpoint = *found, how] {
+  return *found;  // serve() is only called for these
+}
+
+void InstanceServer::endAfterResponse(const SocketEndpoint& connection, AfterResponse how) {
+  if (how == AfterResponse::keepOpen) return;
+  loop_.after(kBeforeEnd, [endpoint = find(connection), how] {
     if (how == AfterResponse::close) {
       endpoint->close();
     } else {
--- a/tests/loopback/instance_server.hpp
+++ b/tests/loopback/instance_server.hpp
@@ -21,6 +21,8 @@
                  RequestLedger& ledger);
   /// Where set: the bytes that it sends in place of the correct response.
   std::function<std::string(const std::string& id, const std::string& correctResponse)> substitute;
+  /// Where set: how long the response to the attempt `id` takes.
+  std::function<Duration(const std::string& id)> delay;
   /// What becomes of the connection behind a response.
   enum class AfterResponse : std::uint8_t {
     keepOpen,
@@ -35,6 +37,9 @@
  private:
   void onAccept(const SocketEndpoint::Ptr& connection);
   void serve(SocketEndpoint& connection, bool& counted);
+  void respond(const SocketEndpoint& connection, const std::string& id, bool isLong,
+               bool isAddressedHere);
+  [[nodiscard]] SocketEndpoint::Ptr find(const SocketEndpoint& connection) const;
   void endAfterResponse(const SocketEndpoint& connection, AfterResponse how);
   void countHead(const std::string& id, bool isAddressedHere);
   [[nodiscard]] std::string responseOf(const std::string& id, bool isLong,
--- a/tests/loopback/node_processes.hpp
+++ b/tests/loopback/node_processes.hpp
@@ -97,6 +97,8 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // however the test ends, its nodes do too
       ::setenv("MERLINGAUGE_SETTINGS", path.c_str(), 1);
       if (std::freopen(log.c_str(), "a", stderr) == nullptr) ::_exit(126);
+      // Sockets of the test would outlive their ends in the nodes.
+      ::close_range(STDERR_FILENO + 1, ~0U, 0);
       execute();
       ::_exit(127);
     }
--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -40,11 +40,14 @@
   fresh,       // HTTP/1.1
   kept,        // HTTP/1.1, behind an earlier response
   pipelined,   // HTTP/1.1, an earlier and a later request sent with it
+  overtaking,  // the same, and the earlier one is answered only after it has ended
   http10,      // HTTP/1.0
   http10Kept,  // HTTP/1.0 with Connection: keep-alive, behind an earlier response
 };
-constexpr std::array<const char*, 5> kCallerNames = {"Fresh", "Kept", "Pipelined", "Http10",
-                                                     "Http10Kept"};
+constexpr std::array<const char*, 6> kCallerNames = {"Fresh",      "Kept",   "Pipelined",
+                                                     "Overtaking", "Http10", "Http10Kept"};
+// In which the target request has ended, with the retry of one.
+constexpr std::chrono::milliseconds kSlowResponse{150};
 
 struct Scenario {
   bool gateway = false;
@@ -63,6 +66,9 @@
   [[nodiscard]] bool isHttp10() const {
     return caller == Caller::http10 || caller == Caller::http10Kept;
   }
+  [[nodiscard]] bool isPipelined() const {
+    return caller == Caller::pipelined || caller == Caller::overtaking;
+  }
   [[nodiscard]] bool isKept() const {
     return caller == Caller::kept || caller == Caller::http10Kept;
   }
@@ -145,6 +151,11 @@
       server->substitute = [scenario](const std::string& id, const std::string& correctResponse) {
         return id == kTargetId ? targetResponse(scenario) : correctResponse;
       };
+      if (scenario.caller == Caller::overtaking) {
+        server->delay = [](const std::string& id) {
+          return id == "early" ? Duration(kSlowResponse) : Duration(0);
+        };
+      }
       server->afterResponse = [scenario](const std::string& id) {
         return id == kTargetId ? afterTarget(scenario) : AfterResponse::keepOpen;
       };
@@ -163,7 +174,7 @@
     expected_ = 1;
     if (scenario_.isKept()) {
       connection_->write(request("early"));
-    } else if (scenario_.caller == Caller::pipelined) {
+    } else if (scenario_.isPipelined()) {
       expected_ = 3;
       connection_->write(request("early") + request(kTargetId) + request("later"));
     } else {
@@ -246,7 +257,7 @@
   ASSERT_FALSE(play.timedOut());
   EXPECT_EQ(play.invariantViolations(), 0U);
   auto responses = play.responses();
-  if (scenario.isKept() || scenario.caller == Caller::pipelined) {
+  if (scenario.isKept() || scenario.isPipelined()) {
     ASSERT_FALSE(responses.empty());
     expectWhole(responses.front(), "early", scenario.isLong);
     responses.erase(responses.begin());
--- a/tests/loopback/response_reader.cpp
+++ b/tests/loopback/response_reader.cpp
@@ -69,14 +69,7 @@
 bool ResponseReader::readChunks() {
   const auto size = chunkedBodySize(input_, 0);
   if (!size) return false;
-  std::size_t at = 0;
-  while (at < *size) {
-    const auto lineEnd = input_.find("\r\n", at);
-    const auto bytes = std::strtoul(input_.c_str() + at, nullptr, 16);
-    if (bytes == 0) break;
-    current_.body.append(input_, lineEnd + 2, bytes);
-    at = lineEnd + 2 + bytes + 2;
-  }
+  current_.body = decodeChunks(input_, 0);
   input_.erase(0, *size);
   finish(ReceivedResponse::Ending::whole);
   return true;
--- a/tests/loopback/scripted_client.cpp
+++ b/tests/loopback/scripted_client.cpp
@@ -30,11 +30,16 @@
 }
 
 void ScriptedClient::onData() {
-  while (const auto head = parseHead(connection_->received)) {
+  while (auto head = parseHead(connection_->received)) {
     if (head->status < 200) {
       connection_->received.erase(0, head->size);
       continue;
     }
+    if (head->chunked) {
+      const auto size = chunkedBodySize(connection_->received, head->size);
+      if (!size) return;
+      head->bodySize = *size;
+    }
     if (connection_->received.size() < head->size + head->bodySize) return;
     if (!handleResponse(*head)) return;
   }
@@ -49,7 +54,8 @@
 // The complete response at the start of what was received; false where reading ends with it.
 bool ScriptedClient::handleResponse(const MessageHead& head) {
   const auto headText = connection_->received.substr(0, head.size);
-  const auto body = connection_->received.substr(head.size, head.bodySize);
+  const auto body = head.chunked ? decodeChunks(connection_->received, head.size)
+                                 : connection_->received.substr(head.size, head.bodySize);
   connection_->received.erase(0, head.size + head.bodySize);
   if (pending_.empty()) {
     ledger_.addViolation("unasked", "an answer where no request waits: " + headText);
--- a/tests/loopback/socket_endpoint.cpp
+++ b/tests/loopback/socket_endpoint.cpp
@@ -11,6 +11,11 @@
 
 using Poco::Net::PollSet;
 
+namespace {
+// On loopback a connection is there at once, unless the listener's queue is full.
+const Poco::Timespan kConnectTimeout(0, 200000);
+}  // namespace
+
 SocketEndpoint::Ptr SocketEndpoint::adopt(EventLoop& loop, const Poco::Net::StreamSocket& socket) {
   Ptr endpoint(new SocketEndpoint(loop, socket));
   endpoint->socket_.setBlocking(false);
@@ -21,7 +26,9 @@
 
 SocketEndpoint::Ptr SocketEndpoint::connect(EventLoop& loop, const SocketAddress& address) {
   try {
-    return adopt(loop, Poco::Net::StreamSocket(address));
+    Poco::Net::StreamSocket socket;
+    socket.connect(address, kConnectTimeout);
+    return adopt(loop, socket);
   } catch (const Poco::Exception&) {
     return nullptr;
   }
--- a/tests/loopback/socket_endpoint.hpp
+++ b/tests/loopback/socket_endpoint.hpp
@@ -33,7 +33,7 @@
 
   /// Wraps a connected socket.
   static Ptr adopt(EventLoop& loop, const Poco::Net::StreamSocket& socket);
-  /// Null where nobody listens. On loopback the kernel accepts at once, so this doesn't block.
+  /// Null where nobody listens or the listener's queue is full; that blocks for 0.2 s.
   static Ptr connect(EventLoop& loop, const SocketAddress& address);
   ~SocketEndpoint() { reset(); }
   SocketEndpoint(const SocketEndpoint&) = delete;
--- a/tests/loopback/test_messages.cpp
+++ b/tests/loopback/test_messages.cpp
@@ -1,6 +1,8 @@
 // test_messages.cpp: the requests and responses of the loopback tests.
 #include "loopback/test_messages.hpp"
 
+#include <array>
+#include <cstdio>
 #include <cstdlib>
 
 namespace merlingauge::test {
@@ -21,6 +23,7 @@
   head.bodySize = std::strtoul(headerValue(text, "Content-Length").c_str(), nullptr, 10);
   head.id = headerValue(text, "Attempt-Id");
   if (text.substr(0, 5) == "HTTP/") head.status = std::atoi(bytes.substr(9, 3).c_str());
+  head.chunked = !headerValue(text, "Transfer-Encoding").empty();
   head.notExecuted = head.status == 421 || !headerValue(text, "Not-Executed").empty() ||
                      !headerValue(text, "Hut-Refused").empty();
   return head;
@@ -43,6 +46,30 @@
   }
 }
 
+std::string decodeChunks(const std::string& bytes, std::size_t offset) {
+  std::string body;
+  for (std::size_t at = offset;;) {
+    const auto size = std::strtoul(bytes.c_str() + at, nullptr, 16);
+    if (size == 0) return body;
+    at = bytes.find("\r\n", at) + 2;
+    body.append(bytes, at, size);
+    at += size + 2;
+  }
+}
+
+std::string withChunks(const std::string& response) {
+  const auto field = response.find("Content-Length");
+  const auto bodyAt = response.find("\r\n\r\n") + 4;
+  std::string text = response.substr(0, field) + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto body = response.substr(bodyAt);
+  if (!body.empty()) {
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+    text.append(size.data()).append(body).append("\r\n");
+  }
+  return text + "0\r\n\r\n";
+}
+
 std::string repeatedText(const std::string& word, std::size_t size) {
   std::string out;
   while (out.size() < size) {
--- a/tests/loopback/test_messages.hpp
+++ b/tests/loopback/test_messages.hpp
@@ -15,6 +15,7 @@
   std::size_t bodySize = 0;  ///< bytes; 0 without a Content-Length
   int status = 0;            ///< 0: a request
   std::string id;            ///< Attempt-Id
+  bool chunked = false;      ///< no Content-Length; chunkedBodySize tells the body's size
   bool notExecuted = false;  ///< a response that proves that the request has not run
 };
 
@@ -27,6 +28,12 @@
 /// Size of the chunked body at `offset`, trailers included; nothing while it is not complete.
 std::optional<std::size_t> chunkedBodySize(const std::string& bytes, std::size_t offset);
 
+/// The body in the chunks at `offset`, which are complete.
+std::string decodeChunks(const std::string& bytes, std::size_t offset);
+
+/// The response, which has a Content-Length, with its body in chunks instead.
+std::string withChunks(const std::string& response);
+
 /// Text of this size that consists of the word over and over.
 std::string repeatedText(const std::string& word, std::size_t size);
 
