Soak: an answer without a length is never ended by FIN in its server's place

Traced with the time of faults and the framing in the seal: every one is an answer without a length whose server relay sent FIN half-way (1 to 20 ms before), which no reader can tell from its end and no network does.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,6 +1,7 @@
 // ledger.cpp: what a soak run has seen.
 #include "soak/ledger.hpp"
 
+#include <algorithm>
 #include <iostream>
 #include <sstream>
 
@@ -9,7 +10,7 @@
 namespace merlingauge::test {
 
 namespace {
-constexpr std::size_t kMaxPrintedViolations = 20;
+constexpr std::size_t kFaultsBeforeViolation = 6;
 
 bool isPromise(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
@@ -34,7 +35,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto fate = fates_.find(attemptId);
   if (fate == fates_.end()) {
-    violations_.push_back("unasked: a server runs " + attemptId + ", which nobody sent");
+    events_.push_back(withTime("VIOLATION unasked: a server runs " + attemptId));
+    ++violations_;
   } else {
     ++fate->second.runs;
   }
@@ -75,9 +77,22 @@
   }
 }
 
+std::string SoakLedger::withTime(const std::string& text) const {
+  using std::chrono::milliseconds;
+  const auto passed = std::chrono::steady_clock::now() - start_;
+  const auto millis = std::chrono::duration_cast<milliseconds>(passed).count();
+  return std::to_string(millis) + " ms " + text;
+}
+
 void SoakLedger::addViolation(const std::string& text) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  violations_.push_back(text);
+  events_.push_back(withTime("VIOLATION " + text));
+  ++violations_;
+}
+
+void SoakLedger::onFault(const std::string& text) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  events_.push_back(withTime(text));
 }
 
 void SoakLedger::count(const std::string& line) {
@@ -86,29 +101,41 @@
 }
 
 void SoakLedger::checkAtEnd() {
-  const std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& [id, fate] : fates_) {
     if (fate.nonIdempotent && fate.runs > 1) {
-      violations_.push_back("twice: " + id + " ran " + std::to_string(fate.runs) + " times");
+      addViolation("twice: " + id + " ran " + std::to_string(fate.runs) + " times");
     }
     if (fate.promisedNotExecuted && fate.nonIdempotent && fate.runs > 0) {
-      violations_.push_back("promise: " + id + " was said not to run, and ran");
+      addViolation("promise: " + id + " was said not to run, and ran");
     }
     if (fate.succeeded && fate.runs == 0) {
-      violations_.push_back("made up: " + id + " is a success that no server ran");
+      addViolation("made up: " + id + " is a success that no server ran");
     }
   }
 }
 
+// Each violation, and the faults that go before it.
+void SoakLedger::printEvents() const {
+  std::size_t faultsSince = 0;
+  for (std::size_t i = 0; i < events_.size(); ++i) {
+    if (events_[i].find(" VIOLATION ") == std::string::npos) {
+      ++faultsSince;
+      continue;
+    }
+    for (std::size_t f = i - std::min(faultsSince, kFaultsBeforeViolation); f <= i; ++f) {
+      std::cout << "  " << events_[f] << "\n";
+    }
+    faultsSince = 0;
+  }
+}
+
 bool SoakLedger::report() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& [line, count] : counts_) std::cout << "  " << line << ": " << count << "\n";
-  std::cout << "  violations: " << violations_.size() << "\n";
-  for (std::size_t i = 0; i < violations_.size() && i < kMaxPrintedViolations; ++i) {
-    std::cout << "  VIOLATION " << violations_[i] << "\n";
-  }
+  std::cout << "  violations: " << violations_ << "\n";
+  if (violations_ > 0) printEvents();
   const auto served = counts_.find("whole 200");
-  return violations_.empty() && served != counts_.end() && served->second > 0;
+  return violations_ == 0 && served != counts_.end() && served->second > 0;
 }
 
 }  // namespace merlingauge::test
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -1,6 +1,7 @@
 // ledger.hpp: what the servers and the callers of a soak run have seen, and what must hold of it.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -20,6 +21,8 @@
 /// The body and the seal of every success of a soak server; the seal tells the whole body, so that
 /// a caller can check it without asking the server.
 std::string soakBody(const std::string& attemptId, const std::string& instance, std::size_t size);
+/// Ends the seal of an answer without a length.
+constexpr const char* kSoakUnframed = "unframed";
 std::string soakSeal(const std::string& attemptId, const std::string& instance, std::size_t size);
 
 /// Any thread.
@@ -35,6 +38,8 @@
   /// The caller has closed before its answer came.
   void onGivenUp() { count("given up"); }
   void addViolation(const std::string& text);
+  /// A fault begins or ends; told beside the violations that come soon after it.
+  void onFault(const std::string& text);
   /// Adds to a line of the summary.
   void count(const std::string& line);
 
@@ -50,12 +55,17 @@
     bool promisedNotExecuted = false;
     bool succeeded = false;
   };
+  /// With the time since the start of the run in front.
+  [[nodiscard]] std::string withTime(const std::string& text) const;
+  void printEvents() const;
   void checkSuccess(const SoakRequest& request, const ReceivedResponse& response);
 
   mutable std::mutex mutex_;
   std::map<std::string, Fate> fates_;  // by Attempt-Id
   std::map<std::string, std::uint64_t> counts_;
-  std::vector<std::string> violations_;
+  std::vector<std::string> events_;  // faults and violations, in their order
+  std::size_t violations_ = 0;
+  std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
 };
 
 }  // namespace merlingauge::test
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -1,8 +1,11 @@
 // relay.cpp: faults of the network in a soak run.
 #include "soak/relay.hpp"
 
+#include <string>
 #include <utility>
 
+#include "soak/ledger.hpp"
+
 namespace merlingauge::test {
 
 SoakRelay::SoakRelay(EventLoop& loop, const SocketAddress& listen, SocketAddress upstream)
@@ -26,6 +29,7 @@
   };
   connection->upstream->onData = [this, kept] {
     const auto bytes = std::exchange(kept->upstream->received, {});
+    if (bytes.find(kSoakUnframed) != std::string::npos) kept->unframed = true;
     if (losing_ || kept->incomplete) {
       kept->incomplete = true;
     } else {
@@ -67,21 +71,25 @@
   losing_ = on;
   if (on) return;
   for (const auto& connection : connections_) {
-    if (!connection->incomplete) continue;
-    connection->downstream->reset();
-    connection->upstream->reset();
+    if (connection->incomplete) reset(*connection);
   }
 }
 
+void SoakRelay::reset(Connection& connection) {
+  connection.downstream->reset();
+  connection.upstream->reset();
+}
+
 void SoakRelay::resetAll() {
-  for (const auto& connection : connections_) {
-    connection->downstream->reset();
-    connection->upstream->reset();
-  }
+  for (const auto& connection : connections_) reset(*connection);
 }
 
 void SoakRelay::closeAll() {
   for (const auto& connection : connections_) {
+    if (connection->unframed) {
+      reset(*connection);
+      continue;
+    }
     connection->downstream->close();
     connection->upstream->close();
   }
@@ -90,7 +98,11 @@
 void SoakRelay::halfCloseAll() {
   for (const auto& connection : connections_) {
     connection->incomplete = true;
-    connection->downstream->halfClose();
+    if (connection->unframed) {
+      reset(*connection);
+    } else {
+      connection->downstream->halfClose();
+    }
   }
 }
 
--- a/tests/soak/relay.hpp
+++ b/tests/soak/relay.hpp
@@ -9,6 +9,9 @@
 namespace merlingauge::test {
 
 /// Relays every connection on `listen` to `upstream`. Event-loop thread.
+///
+/// An answer without a length says by a FIN that it is whole: only its server can say so, and no
+/// failure of a network does. Where a fault would end such an answer by FIN, it is reset.
 class SoakRelay {
  public:
   SoakRelay(EventLoop& loop, const SocketAddress& listen, SocketAddress upstream);
@@ -28,11 +31,13 @@
     SocketEndpoint::Ptr downstream;
     SocketEndpoint::Ptr upstream;
     bool incomplete = false;  // bytes of it were dropped
+    bool unframed = false;    // carries an answer without a length
     int ends = 0;
   };
   void onAccept(const SocketEndpoint::Ptr& downstream);
   static void onEnd(Connection& connection, SocketEndpoint& other, SocketEndpoint::End end);
   void forgetClosed();
+  static void reset(Connection& connection);
 
   EventLoop& loop_;
   SocketAddress upstreamAddress_;
--- a/tests/soak/server.cpp
+++ b/tests/soak/server.cpp
@@ -25,6 +25,8 @@
 constexpr std::array<std::size_t, 6> kBodySizes = {0, 1, 300, 20000, 150000, 600000};
 
 enum class Framing : std::uint8_t { length, chunked, untilClose, count };
+// For the seal, so that a violation tells how its server framed the answer.
+constexpr std::array<const char*, 3> kFramingNames = {"length", "chunked", kSoakUnframed};
 
 int draw(std::mt19937_64& random, int below) {
   return std::uniform_int_distribution<int>(0, below - 1)(random);
@@ -34,8 +36,9 @@
 std::string responseText(const std::string& id, const std::string& instance, std::size_t size,
                          Framing framing, std::mt19937_64& random) {
   const auto body = soakBody(id, instance, size);
-  std::string text =
-      "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: " + soakSeal(id, instance, size);
+  std::string text = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                     "\r\nResponse-Seal: " + soakSeal(id, instance, size) + " " +
+                     kFramingNames.at(static_cast<std::size_t>(framing));
   if (framing == Framing::length) {
     return text + "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" + body;
   }
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -70,6 +70,7 @@
     auto fault = fleet_.strike(busy);
     if (fault.kind.empty()) return;
     ledger_.count("fault: " + fault.kind);
+    ledger_.onFault(fault.kind + " " + fault.target);
     const auto until = steady_clock::now() + milliseconds(fault.lastsMs);
     active_.push_back({std::move(fault), until});
   }
@@ -81,6 +82,7 @@
         continue;
       }
       active->fault.heal();
+      ledger_.onFault("healed: " + active->fault.target);
       active = active_.erase(active);
     }
   }
