--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -146,6 +146,8 @@
   if (isFinal && !attemptId_.empty() && response.get("Attempt-Id", "") != attemptId_) {
     return std::nullopt;
   }
+  // Named as a matter of this connection it would be missing from the copy for the caller.
+  if (isFinal && isConnectionOption(response, "Attempt-Id")) return std::nullopt;
   if (isFinal && !pool_.acceptsFraming(*framing, attemptId_)) return std::nullopt;
   return framing;
 }
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace merlingauge::http {
@@ -54,6 +55,12 @@
   });
 }
 
+bool HttpListener::hasUnsentOutput() const {
+  return context->closingWithOutput > 0 ||
+         std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->hasUnsentOutput(); });
+}
+
 void HttpListener::closeIdleConnections() {
   std::vector<ServerConnection::Ptr> idle;  // a connection that closes leaves connections_
   for (auto& [key, connection] : connections_) {
--- a/src/http/http_listener.hpp
+++ b/src/http/http_listener.hpp
@@ -33,6 +33,8 @@
   void closeIdleConnections();
   /// Closes the listening socket; the connections stay.
   void stopAccepting();
+  /// Whether a caller is owed bytes that have not left this process.
+  [[nodiscard]] bool hasUnsentOutput() const;
   [[nodiscard]] std::size_t connectionCount() const { return connections_.size(); }
 
  private:
--- a/src/http/listener_context.hpp
+++ b/src/http/listener_context.hpp
@@ -43,6 +43,8 @@
   std::shared_ptr<ResponseInvariantCounters> invariants =
       std::make_shared<ResponseInvariantCounters>();
   ResponseEndCounts responseEnds;
+  /// Connections that are closing and still have output that has not left this process.
+  std::size_t closingWithOutput = 0;
   /// Graceful shutdown: the last answer of each connection carries `Connection: close`.
   bool draining = false;
   /// A request whose turn it is, as soon as its head is there. The receiver keeps the exchange, or
--- a/src/http/message_headers.cpp
+++ b/src/http/message_headers.cpp
@@ -24,7 +24,7 @@
                      [&](const char* hopByHop) { return icompare(name, hopByHop) == 0; });
 }
 
-// The options of a `Connection` field.
+// The options of one `Connection` field.
 std::vector<std::string> commaSeparated(const std::string& value) {
   std::vector<std::string> options;
   std::istringstream stream(value);
@@ -39,23 +39,33 @@
                      [&](const auto& option) { return icompare(option, name) == 0; });
 }
 
+// Those of all `Connection` fields.
+std::vector<std::string> connectionOptions(const Poco::Net::MessageHeader& message) {
+  std::vector<std::string> options;
+  for (const auto& [name, value] : message) {
+    if (icompare(name, HTTPMessage::CONNECTION) != 0) continue;
+    for (auto& option : commaSeparated(value)) options.push_back(std::move(option));
+  }
+  return options;
+}
+
 }  // namespace
 
 void copyHeaders(const Poco::Net::MessageHeader& from, Poco::Net::MessageHeader& to,
                  HeaderFilter isDropped) {
-  std::vector<std::string> connectionOptions;
-  for (const auto& [name, value] : from) {
-    if (icompare(name, HTTPMessage::CONNECTION) != 0) continue;
-    for (auto& option : commaSeparated(value)) connectionOptions.push_back(std::move(option));
-  }
+  const auto options = connectionOptions(from);
   for (const auto& [name, value] : from) {
     if (isHopByHopHeader(name) || (isDropped != nullptr && isDropped(name))) continue;
-    if (!containsIgnoringCase(connectionOptions, name)) to.add(name, value);
+    if (!containsIgnoringCase(options, name)) to.add(name, value);
   }
 }
 
+bool isConnectionOption(const Poco::Net::MessageHeader& message, const std::string& name) {
+  return containsIgnoringCase(connectionOptions(message), name);
+}
+
 bool wantsClose(const HTTPMessage& message) {
-  const auto options = commaSeparated(message.get(HTTPMessage::CONNECTION, ""));
+  const auto options = connectionOptions(message);
   if (containsIgnoringCase(options, "close")) return true;
   return message.getVersion() == HTTPMessage::HTTP_1_0 &&
          !containsIgnoringCase(options, "keep-alive");
--- a/src/http/message_headers.hpp
+++ b/src/http/message_headers.hpp
@@ -19,6 +19,9 @@
 void copyHeaders(const Poco::Net::MessageHeader& from, Poco::Net::MessageHeader& to,
                  HeaderFilter isDropped);
 
+/// Whether a `Connection` field of the message names this header, so that no copy has it.
+bool isConnectionOption(const Poco::Net::MessageHeader& message, const std::string& name);
+
 /// Whether the connection ends behind this message, by its `Connection` field and its version.
 bool wantsClose(const Poco::Net::HTTPMessage& message);
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -318,6 +318,10 @@
   const auto self = shared_from_this();  // the listener lets go of it in onClosed_
   over_ = true;
   timer_.cancel();
+  if (hasUnsentOutput() && !connection_->isClosed()) {
+    ++context_->closingWithOutput;
+    connection_->onDrained = [context = context_] { --context->closingWithOutput; };
+  }
   abandonExchanges();  // what was sent behind it counts as unread
   if (onClosed_) onClosed_();
 }
--- a/src/http/tcp_connection.cpp
+++ b/src/http/tcp_connection.cpp
@@ -222,7 +222,13 @@
   return true;
 }
 
+void TcpConnection::reportDrained() {
+  const auto callback = std::exchange(onDrained, nullptr);
+  if (callback) callback();
+}
+
 bool TcpConnection::endOutput() {
+  reportDrained();
   if (abortsAfterFlush_) {
     abortOnceAcknowledged();
     return state_ != State::closed;
@@ -321,6 +327,7 @@
   } catch (const Poco::Exception&) {
     // It is gone either way.
   }
+  reportDrained();
   releaseCallbacks();
 }
 
--- a/src/http/tcp_connection.hpp
+++ b/src/http/tcp_connection.hpp
@@ -58,6 +58,9 @@
   std::function<void()> onData;          ///< new bytes in `input`
   std::function<void()> onFlushed;       ///< all that was written has left
   std::function<void(EndReason)> onEnd;  ///< once, when it ended without close() of the owner
+  /// Once, behind closeAfterFlush() or abortAfterFlush(): everything written has left this process,
+  /// or was given up. The only one that stays set while the connection is closing.
+  std::function<void()> onDrained;
 
   /// Received bytes that the owner has not taken yet; the owner erases what it takes.
   std::string input;
@@ -113,6 +116,7 @@
   /// A closing connection with nothing left to send ends, by FIN or by RST.
   bool endOutput();
   void abortOnceAcknowledged();
+  void reportDrained();
   void startLingerTimer();
   /// The result of a one-byte look into the socket: below 0 where nothing has come, 0 for an
   /// orderly end; nullopt where the connection is broken.
--- a/src/node/listeners.cpp
+++ b/src/node/listeners.cpp
@@ -106,6 +106,10 @@
   return listeners;
 }
 
+bool Listeners::hasUnsentResponses() const {
+  return (egress_ && egress_->hasUnsentOutput()) || (ingress_ && ingress_->hasUnsentOutput());
+}
+
 void Listeners::applyClientLimits(const config::ClientLimits& limits) {
   if (!egress_) return;
   auto& own = egress_->context->limits;
--- a/src/node/listeners.hpp
+++ b/src/node/listeners.hpp
@@ -42,6 +42,8 @@
   void drain();
   /// Those that are open, by the names of their metrics.
   [[nodiscard]] std::vector<std::pair<const char*, const http::HttpListener*>> opened() const;
+  /// Whether a caller or another node is owed bytes of a response that have not left this process.
+  [[nodiscard]] bool hasUnsentResponses() const;
   /// Limits for callers, from the configuration.
   void applyClientLimits(const config::ClientLimits& limits);
 
--- a/src/proxy/egress_request.cpp
+++ b/src/proxy/egress_request.cpp
@@ -223,7 +223,10 @@
   http::copyHeaders(response, *attempt.response, peer_headers::isPeerHeader);
   attempt.responseFraming = framing;
   attempt.responseInfo = egress_.transport.readResponse(response);
-  const auto& info = attempt.responseInfo;
+  auto& info = attempt.responseInfo;
+  // Its own `Connection` field may have kept the seal out of the copy.
+  const bool isUnsealedCopy = isUnsealedSuccess(*attempt.response);
+  if (!info.rejection && isUnsealedCopy) info.rejection = AttemptOutcome::maybeExecuted;
   const TimePoint now = egress_.loop.now();
   // A reported load without this request leaves it out of the own ones too.
   if (info.reportedLoad && !info.loadIncludesThisRequest) stopCounting(attempt);
--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -56,6 +56,7 @@
   Framing framing = Framing::untilClose;
   ServerEnd end = ServerEnd::whole;
   Caller caller = Caller::fresh;
+  std::string extraHeader = {};  // of the response, its line end in front
 
   [[nodiscard]] std::string name() const {
     return std::string(gateway ? "Gateway" : "Mesh") + (nonIdempotent ? "Once" : "Safe") +
@@ -90,7 +91,8 @@
                                   (flags & 4) != 0,
                                   static_cast<Framing>(framing),
                                   static_cast<ServerEnd>(end),
-                                  static_cast<Caller>(caller)};
+                                  static_cast<Caller>(caller),
+                                  ""};
           if (!isAmbiguous(scenario)) all.push_back(scenario);
         }
       }
@@ -109,6 +111,7 @@
   const auto body = half ? whole.substr(0, whole.size() / 2) : whole;
   std::string text =
       "HTTP/1.1 200 OK\r\nAttempt-Id: " + kTargetId + "\r\nResponse-Seal: seal " + kTargetId;
+  text += scenario.extraHeader;
   switch (scenario.framing) {
     case Framing::length:
       return text + "\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + body;
@@ -277,6 +280,28 @@
   }
 }
 
+// What a server says of its connection takes nothing of the answer along.
+TEST(ConnectionOptionsTest, CannotTakeTheIdOrTheSealAway) {
+  std::size_t number = 5000;
+  for (const std::string option : {"Attempt-Id", "Response-Seal", "close, response-seal"}) {
+    for (const bool gateway : {false, true}) {
+      for (const bool isLong : {false, true}) {
+        Scenario scenario;
+        scenario.gateway = gateway;
+        scenario.isLong = isLong;
+        scenario.framing = Framing::length;
+        scenario.extraHeader = "\r\nConnection: " + option;
+        auto& loop = *new EventLoop;
+        auto& play = *new Play(loop, scenario, number++);
+        play.run();
+        EXPECT_FALSE(play.timedOut()) << option;
+        EXPECT_EQ(play.invariantViolations(), 0U) << option;
+        for (const auto& response : play.responses()) EXPECT_GE(response.status, 500) << option;
+      }
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(All, ResponseFramingTest, testing::ValuesIn(scenarios()),
                          [](const testing::TestParamInfo<Scenario>& param) {
                            return param.param.name();
--- a/tests/loopback/shutdown_test.cpp
+++ b/tests/loopback/shutdown_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <functional>
 #include <iostream>
@@ -227,6 +228,46 @@
   keepsPromisesWhenSuspended("ingress", fleet_.backs[2], at(fleet_.front, kEgress));
 }
 
+// Reads at some 1 MB/s: the kernels hold a few MB of the answer, the egress the rest.
+std::string readSlowly(net::StreamSocket& socket, const std::string& until) {
+  std::string received;
+  std::array<char, 16384> chunk{};
+  try {
+    while (received.find(until, received.size() > 200000 ? received.size() - 200000 : 0) ==
+           std::string::npos) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(16));
+      const int size = socket.receiveBytes(chunk.data(), chunk.size());
+      if (size <= 0) break;
+      received.append(chunk.data(), static_cast<std::size_t>(size));
+    }
+  } catch (const Poco::Exception&) {
+    // What has come until then counts.
+  }
+  return received;
+}
+
+// The last of the answer still lies in the egress when it has ended there.
+TEST_F(ShutdownTest, StoppedEgressDeliversToASlowReader) {
+  ASSERT_TRUE(becomesTrue([&] { return Fleet::serves(at(fleet_.front, kEgress)); }));
+  const auto text = requestText("/once/0/huge", "slow");
+  net::StreamSocket socket;
+  socket.init(AF_INET);
+  socket.setReceiveBufferSize(65536);
+  socket.connect(net::SocketAddress(at(fleet_.front, kEgress)));
+  socket.sendBytes(text.data(), static_cast<int>(text.size()));
+  std::thread stopper([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(fleet_.nodes.stop(fleet_.front, SIGTERM), 0);
+  });
+  const auto received = readSlowly(socket, "slow ends");
+  stopper.join();
+  EXPECT_NE(received.find("slow ends"), std::string::npos) << received.size() << " bytes came";
+  fleet_.nodes.start(fleet_.front, NodeProcesses::Kind::sidecar, false);
+  ASSERT_TRUE(becomesTrue([&] {
+    return call(at(fleet_.front, kReady), "GET", "/v1/readiness").status == 200;
+  })) << "the egress is back";
+}
+
 TEST_F(ShutdownTest, TerminationSignalEndsEgressInOrder) {
   ASSERT_EQ(fleet_.nodes.stop(fleet_.front, SIGTERM), 0) << "the egress ends in order";
 }
--- a/tests/loopback/split_answer_server.hpp
+++ b/tests/loopback/split_answer_server.hpp
@@ -19,7 +19,8 @@
 namespace merlingauge::test {
 
 /// Answers in two halves, as many milliseconds apart as the second segment of the path says, as in
-/// /once/1000/big. Sends heartbeats to `control` and counts the executions of each Attempt-Id.
+/// /once/1000/big; it is big, huge or else small. Sends heartbeats to `control` and counts the
+/// executions of each Attempt-Id.
 class SplitAnswerServer {
  public:
   SplitAnswerServer(const std::string& ip, std::string id, std::string control)
@@ -38,9 +39,7 @@
 
   /// The body of the answer to the attempt `id`.
   static std::string body(const std::string& id, bool big) {
-    std::string out = id + " begins;";
-    out.append(big ? 150000 : 300, '.');
-    return out + id + " ends";
+    return bodyOf(id, big ? kBigBody : kSmallBody);
   }
 
   /// The status code of the answer to the heartbeat.
@@ -64,6 +63,18 @@
   std::atomic<bool> draining{false};
 
  private:
+  static constexpr std::size_t kSmallBody = 300;
+  static constexpr std::size_t kBigBody = 150000;
+  static constexpr std::size_t kHugeBody = 7000000;
+
+  static std::string bodyOf(const std::string& id, std::size_t size) {
+    return id + " begins;" + std::string(size, '.') + id + " ends";
+  }
+  static std::size_t bodySize(const std::string& requestLine) {
+    if (requestLine.find("/huge") != std::string::npos) return kHugeBody;
+    return requestLine.find("/big") != std::string::npos ? kBigBody : kSmallBody;
+  }
+
   // How long a thread waits for its socket before it looks at `stop_` again.
   static Poco::Timespan pollInterval() { return {0, 50000}; }
 
@@ -105,7 +116,7 @@
     const auto id = request.substr(header, request.find('\r', header) - header);
     const auto segment = request.find('/', request.find('/') + 1) + 1;
     const auto pause = std::atoi(request.substr(segment, 6).c_str());
-    const auto text = body(id, request.find("/big") < request.find('\r'));
+    const auto text = bodyOf(id, bodySize(request.substr(0, request.find('\r'))));
     {
       const std::lock_guard<std::mutex> hold(lock_);
       ++runs_[id];
