--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -211,9 +211,7 @@
   bodyBytesRead_ = 0;
   exchanges_.push_back(exchange);
   const bool hasBody = exchange->requestFraming.kind != FramingKind::none;
-  if (hasBody && exchange->request.getExpectContinue()) {
-    connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
-  }
+  if (hasBody && exchange->request.getExpectContinue()) exchange->sendContinue();
 }
 
 void ServerConnection::dispatch(const ServerExchange::Ptr& exchange) {
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -187,10 +187,15 @@
   respond(error.status, error.reason, text + "\n", "text/plain", headers);
 }
 
-void ServerExchange::sendProcessing() {
-  if (!over_ && !headSent_) write("HTTP/1.1 102 Processing\r\n\r\n");
+void ServerExchange::sendInterim(std::string_view statusLine) {
+  if (over_ || headSent_ || isHttp10()) return;
+  write(std::string(statusLine) + "\r\n\r\n");
 }
 
+void ServerExchange::sendContinue() { sendInterim("HTTP/1.1 100 Continue"); }
+
+void ServerExchange::sendProcessing() { sendInterim("HTTP/1.1 102 Processing"); }
+
 bool ServerExchange::clientHasClosed() const {
   const auto connection = connection_.lock();
   return !connection || over_ || connection->closedByPeer();
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -76,6 +76,9 @@
                const std::string& contentType, const ExtraHeaders& extra = {});
   /// The answer for an error of this node. `detail` is appended to its text.
   void respondError(ErrorKind kind, const std::string& detail = "", const ExtraHeaders& extra = {});
+  /// An interim answer (100): the body may come. Interim answers wait for this exchange's turn like
+  /// the final one; a caller of HTTP/1.0 gets none.
+  void sendContinue();
   /// An interim answer (102): the request is being worked on.
   void sendProcessing();
   /// Whether the caller has closed its connection, and the loop hasn't come to it yet. A process
@@ -103,6 +106,7 @@
   [[nodiscard]] bool endsByClose() const {
     return responseFraming_.kind == FramingKind::untilClose;
   }
+  void sendInterim(std::string_view statusLine);
   void finish();
 
   std::weak_ptr<ServerConnection> connection_;
--- a/tests/loopback/instance_server.cpp
+++ b/tests/loopback/instance_server.cpp
@@ -14,6 +14,8 @@
 // What was written has reached the other end of a loopback connection by then: a reset would drop
 // what is still on its way.
 constexpr Duration kBeforeEnd = std::chrono::milliseconds(15);
+// Of a response that comes in two halves.
+constexpr Duration kPauseHalfWay = std::chrono::milliseconds(100);
 }  // namespace
 
 InstanceServer::InstanceServer(EventLoop& loop, const SocketAddress& address,
@@ -63,7 +65,15 @@
                              bool isAddressedHere) {
   const auto endpoint = find(connection);
   const auto write = [this, endpoint, id, isLong, isAddressedHere] {
-    endpoint->write(responseOf(id, isLong, isAddressedHere));
+    const auto response = responseOf(id, isLong, isAddressedHere);
+    if (pausesHalfWay && pausesHalfWay(id)) {
+      endpoint->write(response.substr(0, response.size() / 2));
+      loop_.after(kPauseHalfWay, [endpoint, rest = response.substr(response.size() / 2)] {
+        endpoint->write(rest);
+      });
+    } else {
+      endpoint->write(response);
+    }
     if (afterResponse && isAddressedHere) endAfterResponse(*endpoint, afterResponse(id));
   };
   if (delay && isAddressedHere) {
--- a/tests/loopback/instance_server.hpp
+++ b/tests/loopback/instance_server.hpp
@@ -23,6 +23,8 @@
   std::function<std::string(const std::string& id, const std::string& correctResponse)> substitute;
   /// Where set: how long the response to the attempt `id` takes.
   std::function<Duration(const std::string& id)> delay;
+  /// Where set: whether the second half of the response to the attempt `id` comes later.
+  std::function<bool(const std::string& id)> pausesHalfWay;
   /// What becomes of the connection behind a response.
   enum class AfterResponse : std::uint8_t {
     keepOpen,
--- a/tests/loopback/node_processes.hpp
+++ b/tests/loopback/node_processes.hpp
@@ -127,7 +127,8 @@
   // Prints the lines that say so.
   [[nodiscard]] bool hasViolatedInvariants() const {
     bool found = false;
-    for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+    std::error_code gone;  // two objects of one process share the folder, and the first removes it
+    for (const auto& entry : std::filesystem::directory_iterator(folder_, gone)) {
       if (entry.path().extension() != ".log") continue;
       std::ifstream log(entry.path());
       for (std::string line; std::getline(log, line);) {
--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -56,7 +56,9 @@
   Framing framing = Framing::untilClose;
   ServerEnd end = ServerEnd::whole;
   Caller caller = Caller::fresh;
-  std::string extraHeader = {};  // of the response, its line end in front
+  std::string extraHeader = {};    // of the response, its line end in front
+  std::string requestHeader = {};  // of the target request, its line end behind
+  bool earlyPausesHalfWay = false;
 
   [[nodiscard]] std::string name() const {
     return std::string(gateway ? "Gateway" : "Mesh") + (nonIdempotent ? "Once" : "Safe") +
@@ -92,7 +94,9 @@
                                   static_cast<Framing>(framing),
                                   static_cast<ServerEnd>(end),
                                   static_cast<Caller>(caller),
-                                  ""};
+                                  "",
+                                  "",
+                                  false};
           if (!isAmbiguous(scenario)) all.push_back(scenario);
         }
       }
@@ -159,6 +163,9 @@
           return id == "early" ? Duration(kSlowResponse) : Duration(0);
         };
       }
+      if (scenario.earlyPausesHalfWay) {
+        server->pausesHalfWay = [](const std::string& id) { return id == "early"; };
+      }
       server->afterResponse = [scenario](const std::string& id) {
         return id == kTargetId ? afterTarget(scenario) : AfterResponse::keepOpen;
       };
@@ -177,6 +184,9 @@
     expected_ = 1;
     if (scenario_.isKept()) {
       connection_->write(request("early"));
+    } else if (scenario_.earlyPausesHalfWay) {
+      expected_ = 3;
+      connection_->write(request("early"));
     } else if (scenario_.isPipelined()) {
       expected_ = 3;
       connection_->write(request("early") + request(kTargetId) + request("later"));
@@ -195,6 +205,7 @@
   [[nodiscard]] const std::vector<ReceivedResponse>& responses() const {
     return reader_.responses();
   }
+  [[nodiscard]] const std::string& received() const { return received_; }
   [[nodiscard]] std::uint64_t invariantViolations() const { return path_.invariantViolations(); }
   [[nodiscard]] bool timedOut() const { return timedOut_ && !done_; }
 
@@ -204,19 +215,25 @@
     const std::string path =
         std::string(once ? "/once" : "/safe") + (scenario_.isLong ? "/big" : "/short");
     auto text = requestTo(path, id);
+    const auto fields = text.find("\r\n") + 2;
+    if (id == kTargetId) text.insert(fields, scenario_.requestHeader);
     if (!scenario_.isHttp10()) return text;
     text.replace(text.find("HTTP/1.1"), 8, "HTTP/1.0");
-    const auto fields = text.find("\r\n") + 2;
     return scenario_.isKept() ? text.insert(fields, "Connection: keep-alive\r\n") : text;
   }
 
   void onData() {
+    received_ += connection_->received;
     reader_.add(std::exchange(connection_->received, {}));
     if (scenario_.isKept() && !targetSent_ && reader_.responses().size() == 1) {
       targetSent_ = true;
       expected_ = 2;
       connection_->write(request(kTargetId));
     }
+    if (scenario_.earlyPausesHalfWay && !targetSent_) {
+      targetSent_ = true;  // the first half of the early response has come
+      connection_->write(request(kTargetId) + request("later"));
+    }
     if (reader_.responses().size() < expected_) return;
     done_ = true;
     loop_.stop();
@@ -228,6 +245,7 @@
   ProxyPath path_;
   SocketEndpoint::Ptr connection_;
   ResponseReader reader_;
+  std::string received_;
   std::size_t expected_ = 0;
   bool targetSent_ = false;
   bool timedOut_ = false;
@@ -280,6 +298,40 @@
   }
 }
 
+// A request behind one whose answer is half-way asks for leave to send its body.
+TEST(ExpectContinueTest, InterimAnswerWaitsItsTurn) {
+  for (const bool gateway : {false, true}) {
+    Scenario scenario;
+    scenario.gateway = gateway;
+    scenario.isLong = true;
+    scenario.framing = Framing::length;
+    scenario.caller = Caller::pipelined;
+    scenario.earlyPausesHalfWay = true;
+    scenario.requestHeader = "Expect: 100-continue\r\n";
+    auto& loop = *new EventLoop;
+    auto& play = *new Play(loop, scenario, gateway ? 5101 : 5100);
+    play.run();
+    EXPECT_FALSE(play.timedOut());
+    ASSERT_EQ(play.responses().size(), 3U);
+    expectWhole(play.responses()[0], "early", true);
+    expectWhole(play.responses()[1], kTargetId, true);
+    expectWhole(play.responses()[2], "later", true);
+  }
+}
+
+// HTTP/1.0 knows no interim answers.
+TEST(ExpectContinueTest, CallerOfHttp10GetsNone) {
+  Scenario scenario;
+  scenario.framing = Framing::length;
+  scenario.caller = Caller::http10;
+  scenario.requestHeader = "Expect: 100-continue\r\n";
+  auto& loop = *new EventLoop;
+  auto& play = *new Play(loop, scenario, 5102);
+  play.run();
+  EXPECT_FALSE(play.timedOut());
+  EXPECT_EQ(play.received().find("HTTP/1.1 200"), 0U) << play.received().substr(0, 40);
+}
+
 // What a server says of its connection takes nothing of the answer along.
 TEST(ConnectionOptionsTest, CannotTakeTheIdOrTheSealAway) {
   std::size_t number = 5000;
