The response side of an egress request is a class of its own

Cause: egress_request.cpp held attempts, planning and the client's response; a long 503 without proof was streamed to the client as a promise, since only held ones were looked at. Change: EgressResponse (holds, streams, checks the invariants), EgressAttempt in its own header; an unproven rejection counts as one when its head comes.

--- a/src/proxy/egress_request.cpp
+++ b/src/proxy/egress_request.cpp
@@ -16,16 +16,11 @@
 
 using http::BodyFraming;
 using http::ClientExchange;
-using http::FramingKind;
-using http::ResponseInvariant;
 using http::ServerExchange;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 namespace {
-// Bytes of a response held until it is whole: while nothing of it has been sent, a failure of the
-// attempt can still lead to another one. Longer ones are streamed.
-constexpr std::size_t kMaxHeldBytes = 64 * 1024;
 // An ingress says at once that it has the request. After so long without that its node stands still
 // or is slow: far longer than a round trip between zones, and short against the usual deadline.
 constexpr Duration kSilenceTimeout = std::chrono::milliseconds(150);
@@ -44,7 +39,8 @@
     : egress_(egress),
       client_(std::move(exchange)),
       priority_(route.priority),
-      idempotent_(route.idempotent) {}
+      idempotent_(route.idempotent),
+      response_(client_) {}
 
 void EgressRequest::start(const config::Route& route) {
   const double timeoutMs = toMillis(route.timeout);
@@ -93,9 +89,7 @@
   client_->bodyConsumed(unsent);
 }
 
-void EgressRequest::pauseOrResumeUpstream() {
-  if (streaming_) applyBackpressure(*client_, *streaming_->exchange);
-}
+void EgressRequest::pauseOrResumeUpstream() { response_.applyBackpressure(); }
 
 void EgressRequest::onClientGone() {
   if (!over_) finish();
@@ -107,7 +101,7 @@
     for (const auto& attempt : overtaken) cancel(attempt);
     return;
   }
-  if (streaming_) {
+  if (response_.isStreaming()) {
     cutShort();
     return;
   }
@@ -224,9 +218,11 @@
   attempt.responseFraming = framing;
   attempt.responseInfo = egress_.transport.readResponse(response);
   auto& info = attempt.responseInfo;
-  // Its own `Connection` field may have kept the seal out of the copy.
-  const bool isUnsealedCopy = isUnsealedSuccess(*attempt.response);
-  if (!info.rejection && isUnsealedCopy) info.rejection = AttemptOutcome::maybeExecuted;
+  // Its own `Connection` field may have kept the seal out of the copy; and only this node may
+  // promise that a request was not executed.
+  const bool mustNotPass =
+      isUnsealedSuccess(*attempt.response) || isUnprovenRejection(*attempt.response);
+  if (!info.rejection && mustNotPass) info.rejection = AttemptOutcome::maybeExecuted;
   const TimePoint now = egress_.loop.now();
   // A reported load without this request leaves it out of the own ones too.
   if (info.reportedLoad && !info.loadIncludesThisRequest) stopCounting(attempt);
@@ -238,32 +234,10 @@
   }
 }
 
-// Invariant: the client gets the response of one attempt. Of a rejection, or of a response that
-// comes second, nothing is kept.
-bool EgressRequest::isForClient(const AttemptPtr& attempt) const {
-  return !over_ && (!streaming_ || streaming_ == attempt);
-}
-
 void EgressRequest::onResponseBody(const AttemptPtr& attempt, std::string& bytes) {
-  if (attempt->responseInfo.rejection || !isForClient(attempt)) {
-    bytes.clear();
-    return;
-  }
-  attempt->heldBody.append(bytes);
+  const bool isWanted = !attempt->responseInfo.rejection && !over_ && response_.isOpenTo(attempt);
+  if (isWanted && response_.addBody(attempt, bytes)) abandonOtherAttempts(attempt);
   bytes.clear();
-  const bool isLong = attempt->heldBody.size() > kMaxHeldBytes;
-  if (!streaming_ && isLong && isSealed(*attempt)) beginStream(attempt);
-  if (streaming_ == attempt) {
-    client_->sendBody(attempt->heldBody);
-    attempt->heldBody.clear();
-    applyBackpressure(*client_, *attempt->exchange);
-  }
-}
-
-void EgressRequest::beginStream(const AttemptPtr& attempt) {
-  streaming_ = attempt;
-  abandonOtherAttempts(attempt);
-  client_->sendHead(*attempt->response, attempt->responseFraming);
 }
 
 void EgressRequest::onResponseComplete(const AttemptPtr& attempt) {
@@ -274,15 +248,11 @@
     return;
   }
   egress_.endpoints.state(attempt->endpoint).reachability.onReachable();
-  if (!isForClient(attempt)) return;
+  if (over_ || !response_.isOpenTo(attempt)) return;
   const auto source = attempt->exchange->responseSummary().value_or(http::MessageSummary{});
-  if (!streaming_) {
-    const bool mayBeSent = isWholeForClient(*attempt, source);
-    if (!mayBeSent || isUnprovenRejection(*attempt->response)) {
-      onAttemptEnded(*attempt, AttemptOutcome::maybeExecuted);
-      return;
-    }
-    sendWhole(*attempt);
+  if (!response_.isStreaming() && !response_.sendHeld(*attempt, source)) {
+    onAttemptEnded(*attempt, AttemptOutcome::maybeExecuted);
+    return;
   }
   ++egress_.stats.served;
   abandonOtherAttempts(attempt);
@@ -291,20 +261,6 @@
   client->endRelayedResponse(source);
 }
 
-// Checked before the head leaves: nothing can take it back.
-bool EgressRequest::isWholeForClient(const EgressAttempt& attempt,
-                                     const http::MessageSummary& source) {
-  const bool isWholeSource =
-      client_->check(ResponseInvariant::sourceIsWhole, http::isWhole(source.end));
-  const bool isSourcesBody = client_->check(ResponseInvariant::bodyIsTheSources,
-                                            attempt.heldBody.size() == source.bodyBytes);
-  return isWholeSource && isSourcesBody && isSealed(attempt);
-}
-
-bool EgressRequest::isSealed(const EgressAttempt& attempt) {
-  return client_->check(ResponseInvariant::successIsSealed, !isUnsealedSuccess(*attempt.response));
-}
-
 void EgressRequest::onRejected(const EgressAttempt& attempt, AttemptOutcome rejection) {
   auto& reachability = egress_.endpoints.state(attempt.endpoint).reachability;
   if (rejection == AttemptOutcome::unavailable) reachability.onUnreachable(egress_.loop.now());
@@ -312,17 +268,6 @@
   onAttemptEnded(attempt, rejection);
 }
 
-// The whole body is here, so its length is known, however the instance framed it.
-void EgressRequest::sendWhole(EgressAttempt& attempt) {
-  const auto& body = attempt.heldBody;
-  if (attempt.responseFraming.kind != FramingKind::none || !body.empty()) {
-    const auto kind = body.empty() ? FramingKind::none : FramingKind::contentLength;
-    attempt.responseFraming = BodyFraming{kind, body.size()};
-  }
-  client_->sendHead(*attempt.response, attempt.responseFraming);
-  client_->sendBody(body);
-}
-
 void EgressRequest::onAttemptFailed(const AttemptPtr& attempt, ClientExchange::Failure failure) {
   using Failure = ClientExchange::Failure;
   const TimePoint now = egress_.loop.now();
@@ -338,7 +283,7 @@
     state.reachability.onUnreachable(now);
   }
   if (over_) return;
-  if (streaming_ == attempt) {
+  if (response_.isStreaming(attempt)) {
     cutShort();
     return;
   }
@@ -348,7 +293,7 @@
 }
 
 void EgressRequest::onAttemptEnded(const EgressAttempt& attempt, AttemptOutcome outcome) {
-  if (over_ || streaming_) return;
+  if (over_ || response_.isStreaming()) return;
   carryOut(planner_->onAttemptEnded(attempt.endpoint, outcome, egress_.loop.now()));
 }
 
--- a/src/proxy/egress_request.hpp
+++ b/src/proxy/egress_request.hpp
@@ -12,31 +12,19 @@
 #include "http/client_exchange.hpp"
 #include "http/server_exchange.hpp"
 #include "proxy/attempt_planner.hpp"
+#include "proxy/egress_attempt.hpp"
+#include "proxy/egress_response.hpp"
 #include "proxy/egress_state.hpp"
 #include "proxy/exchange_relay.hpp"
 
 namespace merlingauge::proxy {
 
-/// One attempt of a request at one instance.
-struct EgressAttempt {
-  InstanceId endpoint;
-  http::ClientExchange::Ptr exchange;
-  event::EventLoop::TimerId silenceTimer = 0;  ///< 0: not set
-  std::string heldBody;                        ///< of the response, not yet sent to the client
-  std::unique_ptr<Poco::Net::HTTPResponse> response;  ///< head for the client, once it has come
-  http::BodyFraming responseFraming;
-  ResponseInfo responseInfo;
-  bool answered = false;  ///< the response's head has come
-  bool silent = false;    ///< has shown no sign of life for too long
-  bool counted = false;   ///< counts in the instance's load
-};
-
 /// Does the input and output around an AttemptPlanner, which decides. Owns itself through the
 /// callbacks of the exchanges and its timer until the response is out and no attempt is left.
 /// Event-loop thread only.
 ///
 /// Keeps both invariants of docs/design.md, "What holds on every connection", on the egress's part:
-/// the client gets the response of one attempt only (`streaming_`, `over_`), and what the planner
+/// the client gets the response of one attempt only (`response_`, `over_`), and what the planner
 /// doesn't send again is not sent again.
 class EgressRequest : public std::enable_shared_from_this<EgressRequest> {
  public:
@@ -46,7 +34,7 @@
   void start(const config::Route& route);
 
  private:
-  using AttemptPtr = std::shared_ptr<EgressAttempt>;
+  using AttemptPtr = EgressAttemptPtr;
 
   // The client's side.
   void listenToClient();
@@ -76,11 +64,6 @@
   void onAttemptEnded(const EgressAttempt& attempt, AttemptOutcome outcome);
 
   // The response to the client.
-  [[nodiscard]] bool isForClient(const AttemptPtr& attempt) const;
-  void beginStream(const AttemptPtr& attempt);
-  bool isWholeForClient(const EgressAttempt& attempt, const http::MessageSummary& source);
-  bool isSealed(const EgressAttempt& attempt);
-  void sendWhole(EgressAttempt& attempt);
   void respondError(ErrorKind kind);
   void cutShort();
 
@@ -103,7 +86,7 @@
   ReplayBuffer body_;
   std::vector<AttemptPtr> attempts_;   // pending: the response is awaited
   std::vector<AttemptPtr> overtaken_;  // pending, though another's response has won
-  AttemptPtr streaming_;               // whose response the client is being sent
+  EgressResponse response_;            // what the client is being sent
   bool over_ = false;                  // the client is served, rejected or gone
 };
 
--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -59,6 +59,7 @@
   std::string extraHeader = {};    // of the response, its line end in front
   std::string requestHeader = {};  // of the target request, its line end behind
   bool earlyPausesHalfWay = false;
+  std::string statusLine = "200 OK";  // of the response
 
   [[nodiscard]] std::string name() const {
     return std::string(gateway ? "Gateway" : "Mesh") + (nonIdempotent ? "Once" : "Safe") +
@@ -88,15 +89,13 @@
     for (std::size_t framing = 0; framing < kFramingNames.size(); ++framing) {
       for (std::size_t end = 0; end < kServerEndNames.size(); ++end) {
         for (std::size_t caller = 0; caller < kCallerNames.size(); ++caller) {
-          const Scenario scenario{(flags & 1) != 0,
-                                  (flags & 2) != 0,
-                                  (flags & 4) != 0,
-                                  static_cast<Framing>(framing),
-                                  static_cast<ServerEnd>(end),
-                                  static_cast<Caller>(caller),
-                                  "",
-                                  "",
-                                  false};
+          Scenario scenario;
+          scenario.gateway = (flags & 1) != 0;
+          scenario.nonIdempotent = (flags & 2) != 0;
+          scenario.isLong = (flags & 4) != 0;
+          scenario.framing = static_cast<Framing>(framing);
+          scenario.end = static_cast<ServerEnd>(end);
+          scenario.caller = static_cast<Caller>(caller);
           if (!isAmbiguous(scenario)) all.push_back(scenario);
         }
       }
@@ -113,8 +112,8 @@
   const bool half =
       scenario.end == ServerEnd::resetInBody || scenario.end == ServerEnd::closeInBody;
   const auto body = half ? whole.substr(0, whole.size() / 2) : whole;
-  std::string text =
-      "HTTP/1.1 200 OK\r\nAttempt-Id: " + kTargetId + "\r\nResponse-Seal: seal " + kTargetId;
+  std::string text = "HTTP/1.1 " + scenario.statusLine + "\r\nAttempt-Id: " + kTargetId +
+                     "\r\nResponse-Seal: seal " + kTargetId;
   text += scenario.extraHeader;
   switch (scenario.framing) {
     case Framing::length:
@@ -298,6 +297,27 @@
   }
 }
 
+// Only the node may promise that a request was not executed, however long the server's words are.
+TEST(UnprovenRejectionTest, IsNeverPassedOn) {
+  std::size_t number = 5200;
+  for (const bool gateway : {false, true}) {
+    for (const bool isLong : {false, true}) {
+      Scenario scenario;
+      scenario.gateway = gateway;
+      scenario.isLong = isLong;
+      scenario.nonIdempotent = true;
+      scenario.framing = Framing::length;
+      scenario.statusLine = "503 Service Unavailable";
+      auto& loop = *new EventLoop;
+      auto& play = *new Play(loop, scenario, number++);
+      play.run();
+      ASSERT_FALSE(play.timedOut());
+      ASSERT_EQ(play.responses().size(), 1U);
+      EXPECT_EQ(play.responses()[0].status, 502);
+    }
+  }
+}
+
 // A request behind one whose answer is half-way asks for leave to send its body.
 TEST(ExpectContinueTest, InterimAnswerWaitsItsTurn) {
   for (const bool gateway : {false, true}) {
