--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -67,7 +67,7 @@
 
 std::optional<node::MetricsAddress> readMetricsAddress(const std::string& text) {
   if (text.empty()) return std::nullopt;
-  const auto address = node::parseMetricsAddress(text);
+  auto address = node::parseMetricsAddress(text);
   if (!address) throw UsageError("--metrics: '" + text + "' is not of the form PORT/PATH");
   return address;
 }
--- a/tests/http/connection_end_test.cpp
+++ b/tests/http/connection_end_test.cpp
@@ -33,7 +33,7 @@
 // A plain socket of the kernel's, without anything of the program's.
 class PlainSocket {
  public:
-  explicit PlainSocket(Poco::Net::StreamSocket socket) : socket_(std::move(socket)) {
+  explicit PlainSocket(const Poco::Net::StreamSocket& socket) : socket_(socket) {
     socket_.setBlocking(false);
   }
 
@@ -71,6 +71,12 @@
   ReadToEnd result_;
 };
 
+std::string textOf(std::size_t size) {
+  std::string text;
+  text.resize(size, 'a');
+  return text;
+}
+
 class ConnectionEndTest : public testing::Test {
  protected:
   ConnectionEndTest() {
@@ -129,7 +135,7 @@
 }
 
 TEST_F(ConnectionEndTest, CloseAfterFlushDeliversEverythingAndIsOrderly) {
-  const std::string text(3000000, 'a');
+  const auto text = textOf(3000000);
   connection_->write(text);
   connection_->closeAfterFlush();
   const auto read = readToEnd(100000);
@@ -148,7 +154,7 @@
 
 // Longer in all than kLingerTimeout, with progress all the time.
 TEST_F(ConnectionEndTest, CloseAfterFlushWaitsForASlowReader) {
-  const std::string text(16000000, 'a');
+  const auto text = textOf(16000000);
   connection_->write(text);
   connection_->closeAfterFlush();
   const auto begin = event::EventLoop::readClock();
@@ -159,7 +165,7 @@
 }
 
 TEST_F(ConnectionEndTest, AbortAfterFlushDeliversEverythingAndIsAReset) {
-  const std::string text(3000000, 'a');
+  const auto text = textOf(3000000);
   connection_->write(text);
   connection_->abortAfterFlush();
   const auto read = readToEnd(100000);
@@ -192,7 +198,7 @@
 TEST_F(ConnectionEndTest, AbortiveCloseHoldsWhereOutputIsGivenUp) {
   peer_->setSmallReceiveBuffer();
   connection_->setAbortiveClose(true);
-  connection_->write(std::string(30000000, 'a'));
+  connection_->write(textOf(30000000));
   connection_->closeAfterFlush();
   const auto ended = std::weak_ptr<TcpConnection>(connection_);
   connection_.reset();
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -112,7 +112,7 @@
   if (!conversation.pending.empty()) conversation.ended = true;
 }
 
-bool SoakCaller::readSome(Conversation& conversation, Poco::Timespan wait) {
+bool SoakCaller::readSome(Conversation& conversation, const Poco::Timespan& wait) {
   if (!conversation.socket.poll(wait, Poco::Net::Socket::SELECT_READ)) return false;
   std::array<char, 16384> chunk{};
   auto end = ResponseReader::ConnectionEnd::closed;
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -42,7 +42,7 @@
   std::string requestText(const Conversation& conversation, const SoakRequest& request);
   void readAnswers(Conversation& conversation);
   /// Reads what comes within the wait; false where nothing did.
-  bool readSome(Conversation& conversation, Poco::Timespan wait);
+  bool readSome(Conversation& conversation, const Poco::Timespan& wait);
   void takeResponses(Conversation& conversation);
   int draw(int below);
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -254,7 +254,9 @@
     return;
   }
   for (const auto& [invariant, count] : status["violations"].items()) {
-    if (count != 0) ledger_.addViolation("invariant " + invariant + " at " + ip);
+    if (count == 0) continue;
+    std::string text = "invariant ";
+    ledger_.addViolation(text.append(invariant).append(" at ").append(ip));
   }
   const auto metrics = call(at(ip, kMetrics), "GET", kMetricsPath).body;
   std::istringstream lines(metrics);
@@ -262,7 +264,9 @@
   for (std::string line; std::getline(lines, line);) {
     if (line.rfind(kViolationMetric, 0) != 0) continue;
     ++seen;
-    if (!line.ends_with(" 0")) ledger_.addViolation("metric at " + ip + ": " + line);
+    if (line.ends_with(" 0")) continue;
+    std::string text = "metric at ";
+    ledger_.addViolation(text.append(ip).append(": ").append(line));
   }
   if (seen == 0) ledger_.addViolation("metrics: " + ip + " shows no invariants");
 }
--- a/tests/soak/relay.cpp
+++ b/tests/soak/relay.cpp
@@ -8,9 +8,9 @@
 
 namespace merlingauge::test {
 
-SoakRelay::SoakRelay(EventLoop& loop, const SocketAddress& listen, SocketAddress upstream)
+SoakRelay::SoakRelay(EventLoop& loop, const SocketAddress& listen, const SocketAddress& upstream)
     : loop_(loop),
-      upstreamAddress_(std::move(upstream)),
+      upstreamAddress_(upstream),
       listener_(loop, listen, [this](const auto& endpoint) { onAccept(endpoint); }) {}
 
 void SoakRelay::onAccept(const SocketEndpoint::Ptr& downstream) {
--- a/tests/soak/relay.hpp
+++ b/tests/soak/relay.hpp
@@ -14,7 +14,7 @@
 /// failure of a network does. Where a fault would end such an answer by FIN, it is reset.
 class SoakRelay {
  public:
-  SoakRelay(EventLoop& loop, const SocketAddress& listen, SocketAddress upstream);
+  SoakRelay(EventLoop& loop, const SocketAddress& listen, const SocketAddress& upstream);
 
   /// Relays nothing, and says nothing of it, until thawed.
   void freeze(bool on);
