An incarnation is superseded by a higher generation only

Cause: a late rejoin request of an incarnation that never recovered reached one of five voters; its random bits made it look newer than the living one, whose replies then counted nowhere with that voter's. Change: isSuperseded compares generations.

--- a/src/consensus/incarnation.cpp
+++ b/src/consensus/incarnation.cpp
@@ -36,7 +36,7 @@
 
 bool isSuperseded(const IncarnationMap& newest, const NodeId& node, Incarnation incarnation) {
   const auto found = newest.find(node);
-  return found != newest.end() && incarnation < found->second;
+  return found != newest.end() && generationOf(incarnation) < generationOf(found->second);
 }
 
 }  // namespace merlingauge::consensus
--- a/src/consensus/incarnation.hpp
+++ b/src/consensus/incarnation.hpp
@@ -27,9 +27,10 @@
 /// Whether the acceptor never lost its disk: then there is nothing to remember about it.
 [[nodiscard]] bool isFirstGeneration(Incarnation incarnation);
 
-/// Whether `newest` knows a newer incarnation of `node`. What a superseded incarnation promised or
-/// accepted is forgotten, so it must not count in a quorum with what the newer one says
-/// (crash-consistent quorum).
+/// Whether `newest` knows an incarnation of `node` of a higher generation. What a superseded
+/// incarnation promised or accepted is forgotten, so it must not count in a quorum with what the
+/// newer one says (crash-consistent quorum). Of one generation at most one incarnation recovers
+/// (`mayReplace`), and only that one promises and accepts: one known besides it is of no account.
 [[nodiscard]] bool isSuperseded(const IncarnationMap& newest, const NodeId& node,
                                 Incarnation incarnation);
 
--- a/tests/consensus/incarnation_test.cpp
+++ b/tests/consensus/incarnation_test.cpp
@@ -47,5 +47,14 @@
   EXPECT_FALSE(isSuperseded(newest, NodeId("n2"), older));
 }
 
+// One of them never recovered, and the random bits don't tell which.
+TEST(Incarnation, IsNotSupersededByAnotherOfItsGeneration) {
+  const NodeId node("n1");
+  const Incarnation low = nextIncarnation(Incarnation{}, 1);
+  const IncarnationMap newest = {{node, nextIncarnation(Incarnation{}, 2)}};
+  ASSERT_LT(low, newest.at(node));
+  EXPECT_FALSE(isSuperseded(newest, node, low));
+}
+
 }  // namespace
 }  // namespace merlingauge::consensus
