--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -251,17 +251,20 @@
   bool done_ = false;
 };
 
-class ResponseFramingTest : public testing::TestWithParam<Scenario> {
- protected:
-  const Play& play(const Scenario& scenario) {
-    static auto& plays = *new std::deque<std::unique_ptr<Play>>;
-    static std::size_t number = 0;
-    auto& loop = *new EventLoop;  // what it still refers to stays too
-    plays.push_back(std::make_unique<Play>(loop, scenario, number++));
-    plays.back()->run();
-    return *plays.back();
-  }
-};
+// Plays a scenario on a loop of its own. Both stay, since what is left on the loop refers to them.
+const Play& playOut(const Scenario& scenario) {
+  struct Kept {
+    explicit Kept(const Scenario& scenario, std::size_t number) : play(loop, scenario, number) {}
+    EventLoop loop;
+    Play play;
+  };
+  static auto& kept = *new std::deque<std::unique_ptr<Kept>>;
+  kept.push_back(std::make_unique<Kept>(scenario, kept.size()));
+  kept.back()->play.run();
+  return kept.back()->play;
+}
+
+class ResponseFramingTest : public testing::TestWithParam<Scenario> {};
 
 void expectWhole(const ReceivedResponse& response, const std::string& id, bool isLong) {
   EXPECT_EQ(response.ending, ReceivedResponse::Ending::whole) << id;
@@ -273,7 +276,7 @@
 
 TEST_P(ResponseFramingTest, APartNeverLooksWhole) {
   const auto& scenario = GetParam();
-  const auto& play = this->play(scenario);
+  const auto& play = playOut(scenario);
   ASSERT_FALSE(play.timedOut());
   EXPECT_EQ(play.invariantViolations(), 0U);
   auto responses = play.responses();
@@ -299,7 +302,6 @@
 
 // Only the node may promise that a request was not executed, however long the server's words are.
 TEST(UnprovenRejectionTest, IsNeverPassedOn) {
-  std::size_t number = 5200;
   for (const bool gateway : {false, true}) {
     for (const bool isLong : {false, true}) {
       Scenario scenario;
@@ -308,9 +310,7 @@
       scenario.nonIdempotent = true;
       scenario.framing = Framing::length;
       scenario.statusLine = "503 Service Unavailable";
-      auto& loop = *new EventLoop;
-      auto& play = *new Play(loop, scenario, number++);
-      play.run();
+      const auto& play = playOut(scenario);
       ASSERT_FALSE(play.timedOut());
       ASSERT_EQ(play.responses().size(), 1U);
       EXPECT_EQ(play.responses()[0].status, 502);
@@ -328,9 +328,7 @@
     scenario.caller = Caller::pipelined;
     scenario.earlyPausesHalfWay = true;
     scenario.requestHeader = "Expect: 100-continue\r\n";
-    auto& loop = *new EventLoop;
-    auto& play = *new Play(loop, scenario, gateway ? 5101 : 5100);
-    play.run();
+    const auto& play = playOut(scenario);
     EXPECT_FALSE(play.timedOut());
     ASSERT_EQ(play.responses().size(), 3U);
     expectWhole(play.responses()[0], "early", true);
@@ -345,16 +343,13 @@
   scenario.framing = Framing::length;
   scenario.caller = Caller::http10;
   scenario.requestHeader = "Expect: 100-continue\r\n";
-  auto& loop = *new EventLoop;
-  auto& play = *new Play(loop, scenario, 5102);
-  play.run();
+  const auto& play = playOut(scenario);
   EXPECT_FALSE(play.timedOut());
   EXPECT_EQ(play.received().find("HTTP/1.1 200"), 0U) << play.received().substr(0, 40);
 }
 
 // What a server says of its connection takes nothing of the answer along.
 TEST(ConnectionOptionsTest, CannotTakeTheIdOrTheSealAway) {
-  std::size_t number = 5000;
   for (const std::string option : {"Attempt-Id", "Response-Seal", "close, response-seal"}) {
     for (const bool gateway : {false, true}) {
       for (const bool isLong : {false, true}) {
@@ -363,9 +358,7 @@
         scenario.isLong = isLong;
         scenario.framing = Framing::length;
         scenario.extraHeader = "\r\nConnection: " + option;
-        auto& loop = *new EventLoop;
-        auto& play = *new Play(loop, scenario, number++);
-        play.run();
+        const auto& play = playOut(scenario);
         EXPECT_FALSE(play.timedOut()) << option;
         EXPECT_EQ(play.invariantViolations(), 0U) << option;
         for (const auto& response : play.responses()) EXPECT_GE(response.status, 500) << option;
