A request's id is copied where a default stands in for it

Cause: a reference to the default argument of MessageHeader::get outlived it (AddressSanitizer: stack-use-after-scope in ServerExchange::sendHead, on requests without an Attempt-Id). Change: a copy.

--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -79,7 +79,7 @@
   if (hasFramingHeaders(response.getStatus())) setFramingHeaders(responseFraming_, response);
   if (closeAfterResponse_) response.set(HTTPMessage::CONNECTION, "close");
   check(ResponseInvariant::framedBeforeClose, !endsByClose() || isHttp10());
-  const auto& requestId = request.get(kAttemptIdHeader, "");
+  const std::string requestId = request.get(kAttemptIdHeader, "");
   const bool answersRequest = requestId.empty() || response.get(kAttemptIdHeader, "") == requestId;
   if (!check(ResponseInvariant::answersItsRequest, answersRequest)) {
     abortResponse();
