Tests that run side by side never share addresses

Cause: mesh, soak, mixed_versions drew their network by process id, also from the networks that gateway and others name: mesh and gateway failed together in one sanitized run, and passed alone (suspected, the output of that run was not kept). Change: hostsOfThisProcess holds a socket in the network it takes, above the named ones.

--- a/tests/compatibility/fixture_writer.cpp
+++ b/tests/compatibility/fixture_writer.cpp
@@ -313,9 +313,7 @@
 class Site {
  public:
   explicit Site(const std::string& program)
-      : program_(program),
-        hosts_("127." + std::to_string(20 + ::getpid() % 200)),
-        mesh_(program, hosts_) {
+      : program_(program), hosts_(hostsOfThisProcess()), mesh_(program, hosts_) {
     for (int n = 1; n <= 4; ++n) nodes_.push_back(core(n));
     nodes_.push_back(front());
     nodes_.push_back(back());
--- a/tests/compatibility/mixed_versions_test.cpp
+++ b/tests/compatibility/mixed_versions_test.cpp
@@ -29,9 +29,7 @@
  public:
   // Both kinds of nodes share the folder of this process, so a voter keeps its disk.
   Fleet(const std::string& oldProgram, const std::string& newProgram)
-      : hosts_("127." + std::to_string(20 + ::getpid() % 200)),
-        old_(oldProgram, hosts_),
-        new_(newProgram, hosts_) {
+      : hosts_(hostsOfThisProcess()), old_(oldProgram, hosts_), new_(newProgram, hosts_) {
     const auto adjust = [this](json& settings) {
       json seeds = json::array();
       for (int n = 1; n <= kVoters; ++n) seeds.push_back(at(voter(n), kControl));
--- a/tests/loopback/mesh_test.cpp
+++ b/tests/loopback/mesh_test.cpp
@@ -15,9 +15,6 @@
 namespace merlingauge::test {
 namespace {
 
-// Programs that run beside each other don't share addresses.
-std::string hostsOfThisProcess() { return "127." + std::to_string(20 + ::getpid() % 200); }
-
 // Three control nodes and three sidecars: `front` beside the callers, `back` and `other` beside
 // servers of the service echo.
 class Fleet {
--- a/tests/loopback/node_processes.hpp
+++ b/tests/loopback/node_processes.hpp
@@ -1,6 +1,8 @@
 // node_processes.hpp: node processes on loopback addresses, their settings and a configuration.
 #pragma once
 
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -22,6 +24,27 @@
 
 using nlohmann::json;
 
+/// The first half of addresses that no other running test uses, such as 127.131: this process holds
+/// a socket there as long as it runs. Above those that tests name themselves.
+inline std::string hostsOfThisProcess() {
+  static net::ServerSocket held;
+  static const std::string kHosts = [] {
+    constexpr unsigned kFirst = 130;
+    constexpr unsigned kCount = 100;
+    for (auto n = static_cast<unsigned>(::getpid());; ++n) {
+      const auto hosts = "127." + std::to_string(kFirst + n % kCount);
+      try {
+        held.bind(net::SocketAddress(at(hosts + ".255.254", kInner)));
+        held.listen();
+        return hosts;
+      } catch (const Poco::Exception&) {
+        held = net::ServerSocket();
+      }
+    }
+  }();
+  return kHosts;
+}
+
 /// Node processes of one fleet, killed at the end with their folder removed. The first three
 /// control nodes, at HOSTS.0.1 to HOSTS.0.3, are the seeds.
 class NodeProcesses {
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -17,8 +17,6 @@
 constexpr int kRestartMs = 6500;
 const std::string kMetricsPath = "/metrics";
 const std::string kViolationMetric = "merlingauge_invariant_violations_total{";
-
-std::string programHosts() { return "127." + std::to_string(20 + ::getpid() % 200); }
 }  // namespace
 
 SoakFleet::SoakFleet(const std::string& program, bool gateway, SoakLedger& ledger,
@@ -26,7 +24,7 @@
     : gateway_(gateway),
       ledger_(ledger),
       random_(seed),
-      hosts_(programHosts()),
+      hosts_(hostsOfThisProcess()),
       nodes_(program, hosts_),
       control_{hosts_ + ".0.1", hosts_ + ".0.2", hosts_ + ".0.3"},
       fronts_{hosts_ + ".0.11", hosts_ + ".0.12"} {
