--- a/tests/loopback/node_processes.hpp
+++ b/tests/loopback/node_processes.hpp
@@ -32,7 +32,7 @@
     constexpr unsigned kFirst = 130;
     constexpr unsigned kCount = 100;
     for (auto n = static_cast<unsigned>(::getpid());; ++n) {
-      const auto hosts = "127." + std::to_string(kFirst + n % kCount);
+      auto hosts = "127." + std::to_string(kFirst + n % kCount);
       try {
         held.bind(net::SocketAddress(at(hosts + ".255.254", kInner)));
         held.listen();
