Read again: one name, one list, one record where the change had two

Change: http::kAttemptIdHeader, kResponseInvariants, recordIncarnation, beginClosing; the loggers are looked up once; recordViolation is called for violations only; the metrics listener shares the process's counters. Nothing else behaves otherwise.

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -107,11 +107,9 @@
   return {std::move(reply), granted};
 }
 
-// A first incarnation is below all others and nothing to remember. A record never sinks.
+// A first incarnation is below all others and nothing to remember.
 void Acceptor::learnIncarnation(const NodeId& node, Incarnation incarnation) {
-  if (isFirstGeneration(incarnation)) return;
-  auto& recorded = state_.incarnations[node];
-  recorded = std::max(recorded, incarnation);
+  if (!isFirstGeneration(incarnation)) recordIncarnation(state_.incarnations, node, incarnation);
 }
 
 // Of nodes that do not vote nothing is needed: messages that name them as voters are of an older
--- a/src/consensus/incarnation.cpp
+++ b/src/consensus/incarnation.cpp
@@ -34,6 +34,11 @@
   return generationOf(incarnation) <= kFirstGeneration;
 }
 
+void recordIncarnation(IncarnationMap& newest, const NodeId& node, Incarnation incarnation) {
+  auto& recorded = newest[node];
+  recorded = std::max(recorded, incarnation);
+}
+
 bool isSuperseded(const IncarnationMap& newest, const NodeId& node, Incarnation incarnation) {
   const auto found = newest.find(node);
   return found != newest.end() && generationOf(incarnation) < generationOf(found->second);
--- a/src/consensus/incarnation.hpp
+++ b/src/consensus/incarnation.hpp
@@ -27,6 +27,8 @@
 /// Whether the acceptor never lost its disk: then there is nothing to remember about it.
 [[nodiscard]] bool isFirstGeneration(Incarnation incarnation);
 
+/// Records an incarnation heard of; a record never sinks.
+void recordIncarnation(IncarnationMap& newest, const NodeId& node, Incarnation incarnation);
 /// Whether `newest` knows an incarnation of `node` of a higher generation. What a superseded
 /// incarnation promised or accepted is forgotten, so it must not count in a quorum with what the
 /// newer one says (crash-consistent quorum). Of one generation at most one incarnation recovers
--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -134,7 +134,7 @@
 // of the new incarnation, and what the older one said does not count.
 void Proposer::learnIncarnations(const RegisterReply& reply) {
   for (const auto& [node, incarnation] : reply.incarnations) {
-    incarnations_[node] = std::max(incarnations_[node], incarnation);
+    recordIncarnation(incarnations_, node, incarnation);
   }
   std::erase_if(promises_, [this](const auto& entry) {
     if (!isSuperseded(incarnations_, entry.first, entry.second.incarnation)) return false;
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -55,7 +55,7 @@
 void ClientExchange::begin(TcpConnection::Ptr connection, const HTTPRequest& request,
                            FramingKind framingKind, bool reused) {
   connection_ = std::move(connection);
-  attemptId_ = request.get("Attempt-Id", "");
+  attemptId_ = request.get(kAttemptIdHeader, "");
   requestFramingKind_ = framingKind;
   isHeadRequest_ = request.getMethod() == HTTPRequest::HTTP_HEAD;
   reused_ = reused;
@@ -143,11 +143,11 @@
   const bool isFinal = status >= HTTPResponse::HTTP_OK;
   // An answer reaches exactly its caller: without our Attempt-Id these are surplus or late bytes of
   // another exchange, and nothing on this connection can be trusted.
-  if (isFinal && !attemptId_.empty() && response.get("Attempt-Id", "") != attemptId_) {
+  if (isFinal && !attemptId_.empty() && response.get(kAttemptIdHeader, "") != attemptId_) {
     return std::nullopt;
   }
   // Named as a matter of this connection it would be missing from the copy for the caller.
-  if (isFinal && isConnectionOption(response, "Attempt-Id")) return std::nullopt;
+  if (isFinal && isConnectionOption(response, kAttemptIdHeader)) return std::nullopt;
   if (isFinal && !pool_.acceptsFraming(*framing, attemptId_)) return std::nullopt;
   return framing;
 }
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -20,8 +20,8 @@
                                     const std::string& attemptId) const {
   const bool accepted = options_.answersMayEndByClose || framing.kind != FramingKind::untilClose;
   if (!accepted && options_.invariants) {
-    options_.invariants->check(ResponseInvariant::nodesFrameResponses, false,
-                               "response to " + attemptId + " of another node");
+    options_.invariants->recordViolation(ResponseInvariant::nodesFrameResponses,
+                                         "response to " + attemptId + " of another node");
   }
   return accepted;
 }
--- a/src/http/message_headers.hpp
+++ b/src/http/message_headers.hpp
@@ -11,6 +11,9 @@
 
 namespace merlingauge::http {
 
+/// Names one attempt of a client's request; a response repeats it.
+constexpr const char* kAttemptIdHeader = "Attempt-Id";
+
 /// Whether a header field of this name is left out of a copy.
 using HeaderFilter = bool (*)(const std::string& name);
 
--- a/src/http/response_invariants.cpp
+++ b/src/http/response_invariants.cpp
@@ -30,13 +30,11 @@
   return "";
 }
 
-bool ResponseInvariantCounters::check(ResponseInvariant invariant, bool holds,
-                                      const std::string& detail) {
-  if (holds) return true;
+void ResponseInvariantCounters::recordViolation(ResponseInvariant invariant,
+                                                const std::string& detail) {
   ++violations_.at(static_cast<std::size_t>(invariant));
   Poco::Logger::get("http").error(std::string("invariant ") + nameOf(invariant) +
                                   " is violated: " + detail);
-  return false;
 }
 
 std::uint64_t ResponseInvariantCounters::violations(ResponseInvariant invariant) const {
--- a/src/http/response_invariants.hpp
+++ b/src/http/response_invariants.hpp
@@ -21,6 +21,13 @@
   count
 };
 
+constexpr std::array<ResponseInvariant, static_cast<std::size_t>(ResponseInvariant::count)>
+    kResponseInvariants = {
+        ResponseInvariant::answersItsRequest,   ResponseInvariant::sourceIsWhole,
+        ResponseInvariant::bodyIsTheSources,    ResponseInvariant::declaredLength,
+        ResponseInvariant::framedBeforeClose,   ResponseInvariant::partialEndsInReset,
+        ResponseInvariant::nodesFrameResponses, ResponseInvariant::successIsSealed};
+
 /// The invariant in snake case, for metrics and the status.
 const char* nameOf(ResponseInvariant invariant);
 
@@ -28,14 +35,14 @@
 /// error. One object a process, shared by its listeners and pools. Event-loop thread only.
 class ResponseInvariantCounters {
  public:
-  /// Counts and logs a violation unless `holds`, which it returns. `detail` is for the log.
-  bool check(ResponseInvariant invariant, bool holds, const std::string& detail);
+  /// Counts and logs a violation. `detail` is for the log.
+  void recordViolation(ResponseInvariant invariant, const std::string& detail);
 
   [[nodiscard]] std::uint64_t violations(ResponseInvariant invariant) const;
   [[nodiscard]] std::uint64_t totalViolations() const;
 
  private:
-  std::array<std::uint64_t, static_cast<std::size_t>(ResponseInvariant::count)> violations_{};
+  std::array<std::uint64_t, kResponseInvariants.size()> violations_{};
 };
 
 }  // namespace merlingauge::http
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -17,8 +17,6 @@
 using Poco::Net::HTTPResponse;
 
 namespace {
-constexpr const char* kAttemptIdHeader = "Attempt-Id";
-
 std::string retryAfterSeconds(int millis) {
   constexpr double kMillisPerSecond = 1000.0;
   std::array<char, 32> text{};
@@ -142,9 +140,10 @@
 }
 
 bool ServerExchange::check(ResponseInvariant invariant, bool holds) {
+  if (holds) return true;
   const auto connection = connection_.lock();
-  if (holds || !connection) return holds;
-  return connection->invariants().check(invariant, holds, describeForLog());
+  if (connection) connection->invariants().recordViolation(invariant, describeForLog());
+  return false;
 }
 
 std::string ServerExchange::describeForLog() const {
--- a/src/http/tcp_connection.cpp
+++ b/src/http/tcp_connection.cpp
@@ -283,25 +283,21 @@
 
 void TcpConnection::closeAfterFlush() {
   if (state_ == State::closed || state_ == State::closing) return;
-  if (state_ == State::connecting) {
-    close();
-    return;
-  }
   beginClosing();
 }
 
 void TcpConnection::abortAfterFlush() {
   if (state_ == State::closed || state_ == State::closing) return;
   setAbortiveClose(true);
-  if (state_ == State::connecting) {
-    close();
-    return;
-  }
   abortsAfterFlush_ = true;
   beginClosing();
 }
 
 void TcpConnection::beginClosing() {
+  if (state_ == State::connecting) {
+    close();
+    return;
+  }
   state_ = State::closing;
   closingSince_ = loop_.now();
   releaseCallbacks();
--- a/src/node/metrics_endpoint.cpp
+++ b/src/node/metrics_endpoint.cpp
@@ -17,12 +17,13 @@
 }  // namespace
 
 MetricsEndpoint::MetricsEndpoint(event::EventLoop& loop, const Settings& settings,
-                                 const MetricsReport& report)
+                                 const MetricsReport& report,
+                                 const std::shared_ptr<http::ResponseInvariantCounters>& invariants)
     : report_(report) {
   if (!settings.metrics) return;
   path_ = settings.metrics->path;
   try {
-    open(loop, settings);
+    open(loop, settings, invariants);
   } catch (const Poco::Exception& error) {
     Poco::Logger::get("node").warning("no metrics on port " +
                                       std::to_string(settings.metrics->port) + ": " +
@@ -30,9 +31,11 @@
   }
 }
 
-void MetricsEndpoint::open(event::EventLoop& loop, const Settings& settings) {
+void MetricsEndpoint::open(event::EventLoop& loop, const Settings& settings,
+                           const std::shared_ptr<http::ResponseInvariantCounters>& invariants) {
   const Poco::Net::SocketAddress address(settings.nodeId.str(), settings.metrics->port);
   listener_ = std::make_unique<http::HttpListener>(loop, address, kMaxConnections);
+  listener_->context->invariants = invariants;
   listener_->context->onExchange = [this](const http::ServerExchange::Ptr& exchange) {
     handle(*exchange);
   };
--- a/src/node/metrics_endpoint.hpp
+++ b/src/node/metrics_endpoint.hpp
@@ -15,10 +15,13 @@
 class MetricsEndpoint {
  public:
   /// Does nothing where the settings name no metrics. `report` must outlive the endpoint.
-  MetricsEndpoint(event::EventLoop& loop, const Settings& settings, const MetricsReport& report);
+  /// `invariants`: those of the process.
+  MetricsEndpoint(event::EventLoop& loop, const Settings& settings, const MetricsReport& report,
+                  const std::shared_ptr<http::ResponseInvariantCounters>& invariants);
 
  private:
-  void open(event::EventLoop& loop, const Settings& settings);
+  void open(event::EventLoop& loop, const Settings& settings,
+            const std::shared_ptr<http::ResponseInvariantCounters>& invariants);
   void handle(http::ServerExchange& exchange) const;
 
   const MetricsReport& report_;
--- a/src/node/metrics_report.cpp
+++ b/src/node/metrics_report.cpp
@@ -213,10 +213,8 @@
 }
 
 void MetricsReport::addInvariants(Families& families) const {
-  using http::ResponseInvariant;
   auto violations = counters("invariant_violations_total", "Violations; 0 in a sound program.");
-  for (std::size_t i = 0; i < static_cast<std::size_t>(ResponseInvariant::count); ++i) {
-    const auto invariant = static_cast<ResponseInvariant>(i);
+  for (const auto invariant : http::kResponseInvariants) {
     add(violations, sources_.invariants.violations(invariant),
         {{"invariant", http::nameOf(invariant)}});
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -31,8 +31,6 @@
 constexpr Duration kEdgeIdleKeptFor = std::chrono::seconds(9);
 constexpr int kEdgeIdleKeptPerAddress = 8;
 constexpr std::chrono::milliseconds kMachineGoneAfter{700};
-// An ingress frames every answer; only an instance may end one by closing.
-constexpr bool kNodesEndByClose = false;
 
 // Gossip takes processor time; a node with little of it spaces its messages by these costs of one
 // whole core, up to a limit.
@@ -83,7 +81,7 @@
   } else {
     options.idleTimeout = kIdleKeptFor;
     options.maxIdlePerAddress = kIdleKeptPerAddress;
-    options.answersMayEndByClose = kNodesEndByClose;
+    options.answersMayEndByClose = false;  // an ingress frames every answer
   }
   return options;
 }
@@ -163,7 +161,7 @@
       listeners_(loop_, settings_,
                  {egress_.get(), ingress_.get(), controlApi_, peerEndpoint_, invariants_}),
       metricsReport_(statusSources(), listeners_),
-      metricsEndpoint_(loop_, settings_, metricsReport_),
+      metricsEndpoint_(loop_, settings_, metricsReport_, invariants_),
       shutdown_(loop_, settings_, lifecycle_,
                 {listeners_, registry_, registerService_, gossip_, voterSet_, egress_.get(),
                  ingress_.get()}) {}
--- a/src/node/status_report.cpp
+++ b/src/node/status_report.cpp
@@ -143,10 +143,8 @@
 
 // Of each invariant, also those never violated.
 json StatusReport::violations() const {
-  using http::ResponseInvariant;
   json report = json::object();
-  for (std::size_t i = 0; i < static_cast<std::size_t>(ResponseInvariant::count); ++i) {
-    const auto invariant = static_cast<ResponseInvariant>(i);
+  for (const auto invariant : http::kResponseInvariants) {
     report[http::nameOf(invariant)] = sources_.invariants.violations(invariant);
   }
   return report;
--- a/src/proxy/egress_request.cpp
+++ b/src/proxy/egress_request.cpp
@@ -325,8 +325,9 @@
 
 // It is pending no longer.
 void EgressRequest::discard(const AttemptPtr& attempt) {
-  recordResponseEnd(ResponseHop::egress, client_->request.get("Attempt-Id", ""), attempt->endpoint,
-                    attempt->exchange->responseSummary(), egress_.stats.responses);
+  recordResponseEnd(ResponseHop::egress, client_->request.get(http::kAttemptIdHeader, ""),
+                    attempt->endpoint, attempt->exchange->responseSummary(),
+                    egress_.stats.responses);
   egress_.loop.cancel(attempt->silenceTimer);
   attempt->silenceTimer = 0;
   std::erase(attempts_, attempt);
--- a/src/proxy/ingress_request.cpp
+++ b/src/proxy/ingress_request.cpp
@@ -210,7 +210,7 @@
 
 // The exchange with the instance is over, or is about to be cancelled.
 void IngressRequest::recordResponse() const {
-  recordResponseEnd(ResponseHop::ingress, client_->request.get("Attempt-Id", ""), id_,
+  recordResponseEnd(ResponseHop::ingress, client_->request.get(http::kAttemptIdHeader, ""), id_,
                     upstream_->responseSummary(), ingress_.stats.responses);
 }
 
--- a/src/proxy/response_log.cpp
+++ b/src/proxy/response_log.cpp
@@ -11,6 +11,13 @@
 bool isBrokenOffByPeer(MessageEnd end) {
   return !http::isWhole(end) && end != MessageEnd::abandoned;
 }
+
+// Looked up once: Logger::get takes a lock that all loggers share, and this is called per response.
+Poco::Logger& loggerOf(ResponseHop hop) {
+  static auto& egress = Poco::Logger::get("egress");
+  static auto& ingress = Poco::Logger::get("ingress");
+  return hop == ResponseHop::egress ? egress : ingress;
+}
 }  // namespace
 
 const char* nameOf(ResponseHop hop) { return hop == ResponseHop::egress ? "egress" : "ingress"; }
@@ -20,7 +27,7 @@
                        http::MessageEndCounts& counts) {
   if (!summary) return;
   counts.add(*summary);
-  auto& logger = Poco::Logger::get(nameOf(hop));
+  auto& logger = loggerOf(hop);
   const bool brokenOff = isBrokenOffByPeer(summary->end);
   if (!brokenOff && !logger.debug()) return;
   const auto line =
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -28,8 +28,6 @@
 // peer.
 constexpr Duration kIdleTimeout = std::chrono::seconds(15);
 constexpr int kIdleConnectionsPerPeer = 4;
-// A message of another node always has a length.
-constexpr bool kPeersEndByClose = false;
 // A pooled connection idle for longer is not used again: the peer may just be closing it.
 constexpr Duration kMaxIdleForReuse = std::chrono::seconds(10);
 
@@ -39,7 +37,7 @@
   options.connectTimeout = kConnectTimeout;
   options.idleTimeout = kIdleTimeout;
   options.maxIdlePerAddress = kIdleConnectionsPerPeer;
-  options.answersMayEndByClose = kPeersEndByClose;
+  options.answersMayEndByClose = false;  // a message of another node always has a length
   options.invariants = std::move(invariants);
   return options;
 }
