--- a/tests/cli/command_line_test.cpp
+++ b/tests/cli/command_line_test.cpp
@@ -1,7 +1,5 @@
 // command_line_test: exit statuses and messages of the program for wrong command lines and files.
 // Runs the program itself, whose path is the macro MERLINGAUGE_PROGRAM.
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -11,7 +9,8 @@
 #include <filesystem>
 #include <fstream>
 #include <string>
-#include <thread>
+
+#include "loopback/one_answer_server.hpp"
 
 namespace merlingauge::test {
 namespace {
@@ -104,47 +103,23 @@
   expectRun("node", 78, "MERLINGAUGE_SETTINGS is not set");
 }
 
-// Gives one caller these bytes and an orderly end.
-class OneAnswer {
- public:
-  explicit OneAnswer(std::string bytes) : bytes_(std::move(bytes)) {
-    thread_ = std::thread([this] {
-      auto socket = server_.acceptConnection();
-      std::array<char, 4096> request{};
-      socket.receiveBytes(request.data(), request.size());
-      socket.sendBytes(bytes_.data(), static_cast<int>(bytes_.size()));
-      socket.shutdownSend();
-      while (socket.receiveBytes(request.data(), request.size()) > 0) continue;
-    });
-  }
-  ~OneAnswer() { thread_.join(); }
-  OneAnswer(const OneAnswer&) = delete;
-  OneAnswer& operator=(const OneAnswer&) = delete;
-  [[nodiscard]] std::string address() const { return server_.address().toString(); }
-
- private:
-  std::string bytes_;
-  Poco::Net::ServerSocket server_{Poco::Net::SocketAddress("127.0.0.1", 0)};
-  std::thread thread_;
-};
-
 // Half a configuration that is printed as if it were whole could be edited and put back.
 TEST(CommandLine, APartOfAnAnswerIsNoAnswer) {
   {
-    const OneAnswer whole("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
-    expectRun("config get --node=" + whole.address(), 0, "{}");
+    const OneAnswerServer whole("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    expectRun("config get --node=" + whole.address().toString(), 0, "{}");
   }
   {
-    const OneAnswer part("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n{\"revision\":");
-    expectRun("config get --node=" + part.address(), 69, "broke off");
+    const OneAnswerServer part("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n{\"revision\":");
+    expectRun("config get --node=" + part.address().toString(), 69, "broke off");
   }
   {
-    const OneAnswer part("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n");
-    expectRun("config get --node=" + part.address(), 69, "broke off");
+    const OneAnswerServer part("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n");
+    expectRun("config get --node=" + part.address().toString(), 69, "broke off");
   }
   {
-    const OneAnswer unframed("HTTP/1.1 200 OK\r\n\r\n{\"revision\":");
-    expectRun("status --node=" + unframed.address(), 69, "broke off");
+    const OneAnswerServer unframed("HTTP/1.1 200 OK\r\n\r\n{\"revision\":");
+    expectRun("status --node=" + unframed.address().toString(), 69, "broke off");
   }
 }
 
--- a/tests/loopback/response_framing_test.cpp
+++ b/tests/loopback/response_framing_test.cpp
@@ -22,7 +22,7 @@
 using std::chrono::seconds;
 using AfterResponse = InstanceServer::AfterResponse;
 
-enum class Framing : std::uint8_t { untilClose, length, chunked, count };
+enum class Framing : std::uint8_t { untilClose, length, chunked };
 constexpr std::array<const char*, 3> kFramingNames = {"UntilClose", "Length", "Chunked"};
 
 // How the server ends the response.
@@ -118,14 +118,10 @@
   switch (scenario.framing) {
     case Framing::length:
       return text + "\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + body;
-    case Framing::chunked: {
-      std::array<char, 20> size{};
-      std::snprintf(size.data(), size.size(), "%zx", body.size());
-      text += "\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size.data()) + "\r\n" + body;
-      return text + (scenario.end == ServerEnd::whole ? "\r\n0\r\n\r\n" : "\r\n");
-    }
+    case Framing::chunked:
+      text += "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkOf(body);
+      return text + (scenario.end == ServerEnd::whole ? "0\r\n\r\n" : "");
     case Framing::untilClose:
-    case Framing::count:
       break;
   }
   return text + "\r\n\r\n" + body;
--- a/tests/loopback/test_messages.cpp
+++ b/tests/loopback/test_messages.cpp
@@ -57,17 +57,18 @@
   }
 }
 
+std::string chunkOf(std::string_view bytes) {
+  if (bytes.empty()) return "";
+  std::array<char, 20> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return std::string(size.data()).append(bytes).append("\r\n");
+}
+
 std::string withChunks(const std::string& response) {
   const auto field = response.find("Content-Length");
   const auto bodyAt = response.find("\r\n\r\n") + 4;
-  std::string text = response.substr(0, field) + "Transfer-Encoding: chunked\r\n\r\n";
-  const auto body = response.substr(bodyAt);
-  if (!body.empty()) {
-    std::array<char, 20> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
-    text.append(size.data()).append(body).append("\r\n");
-  }
-  return text + "0\r\n\r\n";
+  const std::string text = response.substr(0, field) + "Transfer-Encoding: chunked\r\n\r\n";
+  return text + chunkOf(response.substr(bodyAt)) + "0\r\n\r\n";
 }
 
 std::string repeatedText(const std::string& word, std::size_t size) {
--- a/tests/loopback/test_messages.hpp
+++ b/tests/loopback/test_messages.hpp
@@ -28,6 +28,9 @@
 /// Size of the chunked body at `offset`, trailers included; nothing while it is not complete.
 std::optional<std::size_t> chunkedBodySize(const std::string& bytes, std::size_t offset);
 
+/// These bytes as one chunk of a chunked body; nothing for no bytes, which would end it.
+std::string chunkOf(std::string_view bytes);
+
 /// The body in the chunks at `offset`, which are complete.
 std::string decodeChunks(const std::string& bytes, std::size_t offset);
 
--- a/tests/rpc/peer_rpc_test.cpp
+++ b/tests/rpc/peer_rpc_test.cpp
@@ -2,18 +2,15 @@
 // breaks off.
 #include "rpc/peer_rpc.hpp"
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 
-#include <array>
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 
 #include "event/event_loop.hpp"
 #include "http/response_invariants.hpp"
+#include "loopback/one_answer_server.hpp"
 
 namespace merlingauge::rpc {
 namespace {
@@ -26,18 +23,10 @@
  protected:
   // What a call gets from a peer that sends `bytes` and ends by FIN.
   std::optional<json> resultOf(const std::string& bytes) {
-    Poco::Net::ServerSocket server(Poco::Net::SocketAddress(kPeer, 0));
-    std::thread peer([&] {
-      auto socket = server.acceptConnection();
-      std::array<char, 4096> request{};
-      socket.receiveBytes(request.data(), request.size());
-      socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-      socket.shutdownSend();
-      while (socket.receiveBytes(request.data(), request.size()) > 0) continue;
-    });
+    const test::OneAnswerServer peer(bytes);
     std::optional<json> result;
     {
-      PeerRpc rpc(loop_, server.address().port(), invariants_);
+      PeerRpc rpc(loop_, peer.address().port(), invariants_);
       rpc.call(NodeId(kPeer), "/news", json::object(), std::chrono::seconds(5),
                [&](std::optional<json> answer) {
                  result = std::move(answer);
@@ -45,7 +34,6 @@
                });
       loop_.run();
     }
-    peer.join();
     return result;
   }
 
--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -95,11 +95,7 @@
   if (conversation.http10 || draw(2) == 0) {
     return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
-  std::array<char, 20> line{};
-  std::snprintf(line.data(), line.size(), "%zx\r\n", body.size());
-  text += "Transfer-Encoding: chunked\r\n\r\n";
-  if (!body.empty()) text.append(line.data()).append(body).append("\r\n");
-  return text + "0\r\n\r\n";
+  return text + "Transfer-Encoding: chunked\r\n\r\n" + chunkOf(body) + "0\r\n\r\n";
 }
 
 void SoakCaller::readAnswers(Conversation& conversation) {
--- a/tests/soak/server.cpp
+++ b/tests/soak/server.cpp
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <chrono>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -46,9 +45,7 @@
   text += "\r\nTransfer-Encoding: chunked\r\n\r\n";
   for (std::size_t at = 0; at < body.size();) {
     const auto chunk = std::min(body.size() - at, static_cast<std::size_t>(1 + draw(random, 9000)));
-    std::array<char, 20> line{};
-    std::snprintf(line.data(), line.size(), "%zx\r\n", chunk);
-    text.append(line.data()).append(body, at, chunk).append("\r\n");
+    text += chunkOf(std::string_view(body).substr(at, chunk));
     at += chunk;
   }
   return text + "0\r\n\r\n";
