--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,52 +1,76 @@
 #!/usr/bin/env bash
-# MIXED at a gateway: a success carries another body than the server's.
-#   TROUBLE=0 ./run.sh   the same, with the answers' header in plain ASCII
+# DRAIN: an acknowledged leaving is forgotten when the sidecar that acknowledged it is killed.
+#   TROUBLE=0 ./run.sh   the same without the kill
 here=$(cd "$(dirname "$0")" && pwd)
 # shellcheck source=review/lib.sh
 . "$here/../lib.sh"
 trouble=${TROUBLE:-1}
+drain_s=2   # drain_timeout_s of the settings
+contact_s=3 # contact_s of the settings
 
 for i in 1 2 3; do settings $i control; done
-settings 11 edge
+settings 11 sidecar caller
+settings 12 sidecar archive
+settings 13 sidecar archive
 cat >"$work/config.json" <<JSON
 {"revision":1,"route_rules":[
- {"name":"wording","hostname":"api.example","path_prefix":"/wording/","route_type":"idempotent","timeout_s":2,
-  "target_latency_s":0.8,"priority":1,"target_service":"wording","max_attempts":2}],
- "services":[{"name":"wording","health_check_path":"/health","max_connections":110}],
+ {"name":"read","hostname":"api.example","path_prefix":"/read/","route_type":"idempotent","timeout_s":2,
+  "target_latency_s":0.8,"priority":2,"target_service":"archive","max_attempts":2}],
+ "services":[{"name":"archive","health_check_path":"/health","max_connections":110}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}
 JSON
-# The servers tell the notice's text in a header of their answers: with the trouble in the form of
-# RFC 2047 (base64 of "Guten Tag,\r\n\r\nIhr Rezept liegt bereit."), all of it printable ASCII.
-text="Guten Tag, Ihr Rezept liegt bereit."
-[ "$trouble" = 0 ] || text='=?utf-8?B?R3V0ZW4gVGFnLA0KDQpJaHIgUmV6ZXB0IGxpZWd0IGJlcmVpdC4=?='
-for i in 1 2 3 11; do start_node $i; done
-for i in 21 22; do
-  start_server $i "$net.1:8146,$net.2:8146,$net.3:8146" wording i-wording-$i "Notice-Text: $text"
-done
+for i in 1 2 3 11 12 13; do start_node $i; done
+# The beat that the leaving server had made before comes 2.5 s late.
+[ "$trouble" = 0 ] || export KILL_FILE=$work/victim
+echo "${pid_of[12]}" >"$work/victim"
+LATE_MS=2500 start_server 12 "$net.12:8146" archive i-leaving-12
+leaving_server=$!
+unset KILL_FILE
+start_server 13 "$net.13:8146" archive i-staying-13
 wait_until 20 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
-wait_until 20 is_ready 11 || cant_run "the edge isn't ready"
+for i in 11 12 13; do wait_until 20 is_ready $i || cant_run "sidecar $i isn't ready"; done
 sleep 3
 
-for i in 1 2 3 4 5; do
-  call 11 "GET /wording/$i HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: sent-$i\r\nDeadline-Ms: 1500\r\n\r\n"
-  sleep 0.3
-done
-sleep 1
+# A client's reads, all through the sidecar beside the caller.
+(
+  for ((k = 1; k <= 70; k++)); do
+    call 11 "GET /read/$k HTTP/1.1\r\nHost: api.example\r\nAttempt-Id: sent-$k\r\nDeadline-Ms: 1500\r\n\r\n"
+    sleep 0.03
+  done
+) &
+client=$!
+sleep 1.5
+kill -USR1 "$leaving_server"
+started_ms=0
+if [ "$trouble" != 0 ]; then
+  # The platform starts the killed node again after a short delay, with the settings of now.
+  wait "${pid_of[12]}" 2>/dev/null
+  sleep 0.5
+  sed -i 's/"bootstrap":true/"bootstrap":false/' "$work/boot12.json"
+  start_node 12
+  started_ms=$(date +%s%3N)
+fi
+wait "$client"
 
-touch "$work/runs" "$work/calls"
-note "trouble=$trouble; what clients sent and were answered:"
-cat "$work/calls" >>"$record"
-note "what the servers ran:"
-cat "$work/runs" >>"$record"
+touch "$work/runs"
+note "trouble=$trouble; the server's leaving, its late beat, and what it ran from its leaving on:"
+ack_ms=$(sed -n 's/^deregistered i-leaving-12 status=200 ms=\([0-9]*\).*/\1/p' "$work/runs")
+[ -n "$ack_ms" ] || cant_run "the leaving was not acknowledged"
+grep -v "^run" "$work/runs" >>"$record"
+[ "$started_ms" = 0 ] || note "the sidecar beside it was started again at ms=$started_ms"
+# Counted are only requests that the rule counts: later than drain_timeout_s after the ack, and with
+# all machines in touch, that is contact_s after the last start of one.
+from_ms=$((ack_ms + drain_s * 1000))
+[ $((started_ms + contact_s * 1000)) -le $from_ms ] || from_ms=$((started_ms + contact_s * 1000))
+note "counted by the rule from ms=$from_ms on"
 broken=0
-served=0
-while read -r what id line; do
-  [[ $what = answer && $line == "HTTP/1.1 2"* ]] || continue
-  served=$((served + 1))
-  if [[ $line != *" [result of $id]" ]]; then
-    note "MIXED: the success for $id has another body than the server's, 'result of $id'"
-    broken=1
-  fi
-done <"$work/calls"
-[ $served -gt 0 ] || [ "$trouble" = 1 ] || cant_run "no request was served"
-exit $broken
+while read -r line; do
+  ms=${line##*ms=}
+  [ "$ms" -ge "$ack_ms" ] || continue
+  late=""
+  [ "$ms" -le "$from_ms" ] || { late=" DRAIN"; broken=$((broken + 1)); }
+  note "$((ms - ack_ms)) ms after the ack: $line$late"
+done < <(grep "^run .* at=i-leaving-12 " "$work/runs")
+note "$broken requests reached the leaving server too late; $(grep -c ' at=i-staying-13 ' "$work/runs") ran at the other"
+grep -q " at=i-staying-13 " "$work/runs" || cant_run "the other server ran nothing"
+[ $broken = 0 ] || exit 1
--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -1,6 +1,9 @@
 // standin: a sound application server and a sound client for the cases in review/. Plain sockets,
 // no library beside the system's. Each writes what it saw to a log, one line for each event.
 //   standin server AT BEAT-TO SERVICE ID ZONE LOG [EXTRA-HEADER]
+//     On SIGUSR1 it leaves: it deregisters without saying `draining`, sends no further beat and
+//     serves on. One beat that it had made before comes LATE-MS after (environment; 0: none). With
+//     KILL-FILE (environment) the process whose id stands in that file is killed with the ack.
 //   standin call TO LOG WAIT-MS [REST-MS] <REQUEST    (one request, as its bytes; with REST-MS it
 //                                                 reads nothing for so long after the head)
 //   standin post TO PATH BASE-REVISION WAIT-MS <BODY    (one call of an operator; prints the status)
@@ -12,6 +15,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -182,6 +186,14 @@
 
 // ---- The server.
 
+std::atomic<bool> leaving{false};
+
+long long nowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 struct Server {
   std::string at, beatTo, service, id, zone, log, extraHeader;
   std::mutex mutex;
@@ -227,7 +239,8 @@
       out = answer(421, "Misdirected Request", attempt, "Not-Executed: 1\r\n", "");
     } else {
       server.note("run " + printable(attempt + " " + target + " [" + request.body + "]") +
-                  " caller=" + request.header("caller-service") + " at=" + server.id);
+                  " caller=" + request.header("caller-service") + " at=" + server.id +
+                  " ms=" + std::to_string(nowMs()));
       std::this_thread::sleep_for(std::chrono::milliseconds(kWorkMs));
       const auto extra = server.extraHeader.empty() ? "" : server.extraHeader + "\r\n";
       out = answer(200, "OK", attempt, "Response-Seal: " + server.id + "." + attempt + "\r\n" + extra,
@@ -263,6 +276,25 @@
   return body.substr(from + 1, body.find('"', from + 1) - from - 1);
 }
 
+// An operator of the server has it leave.
+void leave(Server& server, const std::string& lateBeat) {
+  const char* const lateMs = std::getenv("LATE_MS");
+  const char* const killFile = std::getenv("KILL_FILE");
+  int victim = 0;
+  if (killFile != nullptr) std::ifstream(killFile) >> victim;
+  const int status =
+      postTo(server.beatTo, "/v1/Instances.Deregister/" + server.id, "", "", 1000);
+  if (status / 100 == 2 && victim > 0) ::kill(victim, SIGKILL);
+  server.note("deregistered " + server.id + " status=" + std::to_string(status) +
+              " ms=" + std::to_string(nowMs()) + (victim > 0 ? " and killed the node" : ""));
+  if (lateMs == nullptr || std::atoi(lateMs) == 0) return;
+  std::this_thread::sleep_for(std::chrono::milliseconds(std::atoi(lateMs)));
+  const int late =
+      postTo(server.beatTo, "/v1/Instances.Heartbeat/" + server.id, "", lateBeat, 1000);
+  server.note("late beat of " + server.id + " status=" + std::to_string(late) +
+              " ms=" + std::to_string(nowMs()));
+}
+
 void beat(Server& server) {
   std::string target;
   for (int sequence = 1;; ++sequence) {
@@ -270,6 +302,10 @@
                       server.service + R"(","revision":"v1","zone":")" + server.zone +
                       R"(","capacity":8},"status_detail":{"status":"available","sequence":)" +
                       std::to_string(sequence) + R"(,"warmup_left_s":0}})";
+    if (leaving) {
+      leave(server, body);
+      return;
+    }
     const auto path = "/v1/Instances.Heartbeat/" + server.id;
     std::string reply;
     // To the node that was named, while it takes them; else to the first of the list that does.
@@ -282,7 +318,9 @@
       from = comma + 1;
     }
     if (taken && !targetIn(reply).empty()) target = targetIn(reply);
-    std::this_thread::sleep_for(std::chrono::milliseconds(kBeatMs));
+    for (int waited = 0; waited < kBeatMs && !leaving; waited += 10) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
   }
 }
 
@@ -366,6 +404,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGUSR1, [](int) { leaving = true; });
   const std::string what = argc > 1 ? argv[1] : "";
   if (what == "server" && argc >= 8) return runServer(argv + 2, argc - 2);
   if (what == "call" && argc >= 5) return runCall(argv + 2, argc > 5 ? std::atoi(argv[5]) : 0);
