--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -6,6 +6,9 @@
 //     KILL-FILE (environment) the process whose id stands in that file is killed with the ack.
 //   standin call TO LOG WAIT-MS [REST-MS] <REQUEST    (one request, as its bytes; with REST-MS it
 //                                                 reads nothing for so long after the head)
+//   standin keep TO LOG WAIT-MS REST-MS <REQUESTS    (requests without bodies on one connection: the
+//                                     first is answered, then the others are sent at once; once an
+//                                     answer begins, nothing is read for REST-MS)
 //   standin post TO PATH BASE-REVISION WAIT-MS <BODY    (one call of an operator; prints the status)
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -29,6 +32,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace {
 
@@ -392,6 +396,56 @@
   return 0;
 }
 
+std::string idOf(const std::string& request) {
+  const auto at = request.find("\r\nAttempt-Id: ") + 14;
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+int runKeep(char** args) {
+  const std::string bytes((std::istreambuf_iterator<char>(std::cin)), {});
+  std::vector<std::string> requests;
+  for (std::size_t from = 0; from < bytes.size();) {
+    const auto end = bytes.find("\r\n\r\n", from) + 4;
+    requests.push_back(bytes.substr(from, end - from));
+    from = end;
+  }
+  std::ofstream log(args[1], std::ios::app);
+  const int socket = connectTo(args[0]);
+  if (socket < 0) return 1;
+  Reader reader(socket);
+  const auto until = Clock::now() + std::chrono::milliseconds(std::atoi(args[2]));
+  const auto sent = [&](const std::string& request) {
+    const auto target = request.substr(0, request.find(" HTTP/1.1"));
+    log << "sent " << printable(idOf(request) + " " + target + " []") << std::endl;
+    return request;
+  };
+  const auto hear = [&](const std::string& request) {
+    Message reply;
+    const bool got = reader.read(reply, until, true);
+    log << "answer " << idOf(request) << " ";
+    if (!got) {
+      log << "none" << std::endl;
+    } else {
+      log << printable(reply.firstLine) << (reply.complete ? "" : " incomplete") << " "
+          << reply.body.size() << " bytes" << std::endl;
+    }
+    return got && reply.complete;
+  };
+  bool open = sendAll(socket, sent(requests.front())) && hear(requests.front());
+  std::string others;
+  for (std::size_t i = 1; i < requests.size(); ++i) others += sent(requests[i]);
+  open = open && sendAll(socket, others);
+  pollfd wait{socket, POLLIN, 0};
+  ::poll(&wait, 1, std::atoi(args[2]));
+  std::this_thread::sleep_for(std::chrono::milliseconds(std::atoi(args[3])));
+  for (std::size_t i = 1; i < requests.size(); ++i) {
+    open = open && hear(requests[i]);
+    if (!open && i + 1 < requests.size()) log << "answer " << idOf(requests[i + 1]) << " none\n";
+  }
+  ::close(socket);
+  return 0;
+}
+
 int runPost(char** args) {
   const std::string body((std::istreambuf_iterator<char>(std::cin)), {});
   std::cout << postTo(args[0], args[1], "Base-Revision: " + std::string(args[2]) + "\r\n", body,
@@ -408,6 +462,7 @@
   const std::string what = argc > 1 ? argv[1] : "";
   if (what == "server" && argc >= 8) return runServer(argv + 2, argc - 2);
   if (what == "call" && argc >= 5) return runCall(argv + 2, argc > 5 ? std::atoi(argv[5]) : 0);
+  if (what == "keep" && argc == 6) return runKeep(argv + 2);
   if (what == "post" && argc == 6) return runPost(argv + 2);
   std::cerr << "usage: see the head of standin.cpp\n";
   return 64;
