--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -22,8 +22,8 @@
 for i in 1 2 3 11 12 13; do start_node $i; done
 start_server 12 "$net.12:8146" booking i-booking-12
 start_server 13 "$net.13:8146" booking i-booking-13
-wait_until 20 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
-for i in 11 12 13; do wait_until 20 is_ready $i || cant_run "sidecar $i isn't ready"; done
+wait_until 30 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
+for i in 11 12 13; do wait_until 30 is_ready $i || cant_run "sidecar $i isn't ready"; done
 sleep 2
 
 # A client's reads. With the trouble, each has a header in the form of RFC 2047, printable ASCII as
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -27,8 +27,8 @@
 leaving_server=$!
 unset KILL_FILE
 start_server 13 "$net.13:8146" archive i-staying-13
-wait_until 20 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
-for i in 11 12 13; do wait_until 20 is_ready $i || cant_run "sidecar $i isn't ready"; done
+wait_until 30 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
+for i in 11 12 13; do wait_until 30 is_ready $i || cant_run "sidecar $i isn't ready"; done
 sleep 3
 
 # A client's reads, all through the sidecar beside the caller.
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -36,7 +36,7 @@
  {"name":"more","hostname":"api.example","path_prefix":"$2","route_type":"idempotent","timeout_s":2,
   "target_latency_s":0.8,"priority":2,"target_service":"booking","max_attempts":2}],
  "services":[{"name":"booking","health_check_path":"/health","max_connections":110}],
- "limits":{"max_header_bytes":131072,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}
+ "limits":{"max_header_bytes":65536,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}
 JSON
 }
 
@@ -44,10 +44,10 @@
 for i in 1 2 3; do settings $i control; done
 for i in 1 2 3; do platform $i 2>/dev/null & done
 config 1 /read/ >"$work/first.json"
-wait_until 20 put_config "$work/first.json" "$net.1:8146" 0 || cant_run "no configuration"
+wait_until 30 put_config "$work/first.json" "$net.1:8146" 0 || cant_run "no configuration"
 
 # Valid by the pages: a prefix that begins and ends with a slash, a known service, a higher revision.
-length=$([ "$trouble" = 0 ] && echo 100 || echo 100000)
+length=$([ "$trouble" = 0 ] && echo 100 || echo 60000)
 long=$(printf '%*s' "$length" '' | tr ' ' a)
 config 2 "/$long/" >"$work/second.json"
 note "trouble=$trouble; a change of $(wc -c <"$work/second.json") bytes, one path_prefix of $((length + 2)) bytes"
--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -1,15 +1,18 @@
-// standin: a sound application server and a sound client for the cases in review/. Plain sockets,
-// no library beside the system's. Each writes what it saw to a log, one line for each event.
-//   standin server AT BEAT-TO SERVICE ID ZONE LOG [EXTRA-HEADER]
-//     On SIGUSR1 it leaves: it deregisters without saying `draining`, sends no further beat and
-//     serves on. One beat that it had made before comes LATE-MS after (environment; 0: none). With
-//     KILL-FILE (environment) the process whose id stands in that file is killed with the ack.
-//   standin call TO LOG WAIT-MS [REST-MS] <REQUEST    (one request, as its bytes; with REST-MS it
-//                                                 reads nothing for so long after the head)
-//   standin keep TO LOG WAIT-MS REST-MS <REQUESTS    (requests without bodies on one connection: the
-//                                     first is answered, then the others are sent at once; once an
-//                                     answer begins, nothing is read for REST-MS)
-//   standin post TO PATH BASE-REVISION WAIT-MS <BODY    (one call of an operator; prints the status)
+// standin: a sound application server and sound clients for the cases in review/. Plain sockets, no
+// library beside the system's. Each writes what it saw to a log, one line for each event.
+//
+// standin server AT BEAT-TO SERVICE ID ZONE LOG [EXTRA-HEADER]
+//   On SIGUSR1 it leaves: it deregisters without saying `draining`, sends no further beat and
+//   serves on. One beat that it had made before comes LATE_MS after (environment; 0: none). With
+//   KILL_FILE (environment) the process whose id stands in that file is killed with the
+//   acknowledgement.
+// standin call TO LOG WAIT-MS [REST-MS] <REQUEST
+//   One request, as its bytes. With REST-MS nothing is read for so long once the answer begins.
+// standin keep TO LOG WAIT-MS REST-MS <REQUESTS
+//   Requests without bodies on one connection: the first is answered, then the others are sent at
+//   once; when an answer begins, nothing is read for REST-MS.
+// standin post TO PATH BASE-REVISION WAIT-MS <BODY
+//   One call of an operator; prints the status, 0 where there is none.
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -37,8 +40,9 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
-constexpr int kWorkMs = 20;         // a server works so long on one request
-constexpr int kBeatMs = 1500;       // heartbeat_interval_s of the settings
+constexpr int kWorkMs = 20;           // a server works so long on one request
+constexpr int kSmallWindow = 65536;   // "small windows": the same on every machine
+constexpr int kBeatMs = 1500;         // heartbeat_interval_s of the settings
 constexpr int kReadTimeoutMs = 8000;  // a server closes a connection that rests for so long
 
 sockaddr_in addressOf(const std::string& text) {
@@ -50,8 +54,10 @@
   return address;
 }
 
-int connectTo(const std::string& to) {
+// `window`: of the socket's receive buffer, in bytes; 0: the system's own.
+int connectTo(const std::string& to, int window = 0) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (window > 0) ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
   const auto address = addressOf(to);
   if (::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     ::close(socket);
@@ -233,7 +239,8 @@
     std::string out;
     if (request.firstLine.rfind(" HTTP/1.") == std::string::npos) {
       server.note("malformed " + printable(request.firstLine));
-      sendAll(socket, answer(400, "Bad Request", "", "Not-Executed: 1\r\nConnection: close\r\n", ""));
+      sendAll(socket,
+              answer(400, "Bad Request", "", "Not-Executed: 1\r\nConnection: close\r\n", ""));
       break;
     }
     if (attempt.empty()) {
@@ -247,8 +254,9 @@
                   " ms=" + std::to_string(nowMs()));
       std::this_thread::sleep_for(std::chrono::milliseconds(kWorkMs));
       const auto extra = server.extraHeader.empty() ? "" : server.extraHeader + "\r\n";
-      out = answer(200, "OK", attempt, "Response-Seal: " + server.id + "." + attempt + "\r\n" + extra,
-                   bodyFor(target, attempt));
+      out =
+          answer(200, "OK", attempt, "Response-Seal: " + server.id + "." + attempt + "\r\n" + extra,
+                 bodyFor(target, attempt));
     }
     if (!sendAll(socket, out)) break;
   }
@@ -261,10 +269,10 @@
   if (socket < 0) return 0;
   Message reply;
   Reader reader(socket);
-  const bool sent = sendAll(socket, "POST " + path + " HTTP/1.1\r\nHost: " + to +
-                                        "\r\nContent-Type: application/json\r\n" + headers +
-                                        "Content-Length: " + std::to_string(body.size()) +
-                                        "\r\n\r\n" + body);
+  const bool sent =
+      sendAll(socket, "POST " + path + " HTTP/1.1\r\nHost: " + to +
+                          "\r\nContent-Type: application/json\r\n" + headers +
+                          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   const bool got =
       sent && reader.read(reply, Clock::now() + std::chrono::milliseconds(waitMs), true);
   ::close(socket);
@@ -286,8 +294,7 @@
   const char* const killFile = std::getenv("KILL_FILE");
   int victim = 0;
   if (killFile != nullptr) std::ifstream(killFile) >> victim;
-  const int status =
-      postTo(server.beatTo, "/v1/Instances.Deregister/" + server.id, "", "", 1000);
+  const int status = postTo(server.beatTo, "/v1/Instances.Deregister/" + server.id, "", "", 1000);
   if (status / 100 == 2 && victim > 0) ::kill(victim, SIGKILL);
   server.note("deregistered " + server.id + " status=" + std::to_string(status) +
               " ms=" + std::to_string(nowMs()) + (victim > 0 ? " and killed the node" : ""));
@@ -389,10 +396,11 @@
     log << "answer " << id << " none" << std::endl;
     return 1;
   }
-  log << "answer " << id << " " << printable(reply.firstLine) << " seal="
-      << printable(reply.header("response-seal")) << (reply.complete ? "" : " incomplete")
-      << (reply.untilClose ? " until-close" : "") << " " << reply.body.size() << " bytes ["
-      << printable(reply.body.substr(0, 120)) << "]" << std::endl;
+  log << "answer " << id << " " << printable(reply.firstLine)
+      << " seal=" << printable(reply.header("response-seal"))
+      << (reply.complete ? "" : " incomplete") << (reply.untilClose ? " until-close" : "") << " "
+      << reply.body.size() << " bytes [" << printable(reply.body.substr(0, 120)) << "]"
+      << std::endl;
   return 0;
 }
 
@@ -410,7 +418,7 @@
     from = end;
   }
   std::ofstream log(args[1], std::ios::app);
-  const int socket = connectTo(args[0]);
+  const int socket = connectTo(args[0], kSmallWindow);
   if (socket < 0) return 1;
   Reader reader(socket);
   const auto until = Clock::now() + std::chrono::milliseconds(std::atoi(args[2]));
