--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,11 +2,12 @@
 # UNASKED at a gateway: a server runs an order whose body was taken away.
 #   TROUBLE=0 ./run.sh   the same, with the header's text in plain ASCII
 here=$(cd "$(dirname "$0")" && pwd)
+site=gateway-valley
 # shellcheck source=review/lib.sh
 . "$here/../lib.sh"
 trouble=${TROUBLE:-1}
 
-for i in 1 2 3; do settings $i control; done
+for i in $controls; do settings $i control; done
 settings 11 edge
 cat >"$work/config.json" <<JSON
 {"revision":1,"route_rules":[
@@ -15,11 +16,11 @@
  "services":[{"name":"pickup","health_check_path":"/health","max_connections":110}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}
 JSON
-for i in 1 2 3 11; do start_node $i; done
+for i in $controls 11; do start_node $i; done
 for i in 21 22; do
-  start_server $i "$net.1:8146,$net.2:8146,$net.3:8146" pickup i-pickup-$i
+  start_server $i "$net.1:$control_port,$net.2:$control_port,$net.3:$control_port" pickup i-pickup-$i
 done
-wait_until 30 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
+wait_until 30 put_config "$work/config.json" "$net.1:$control_port" 0 || cant_run "no configuration"
 wait_until 30 is_ready 11 || cant_run "the edge isn't ready"
 sleep 3
 
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,7 +6,7 @@
 . "$here/../lib.sh"
 trouble=${TROUBLE:-1}
 
-for i in 1 2 3; do settings $i control; done
+for i in $controls; do settings $i control; done
 settings 11 sidecar caller
 settings 12 sidecar booking
 settings 13 sidecar booking
@@ -19,10 +19,10 @@
  "services":[{"name":"booking","health_check_path":"/health","max_connections":110}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}
 JSON
-for i in 1 2 3 11 12 13; do start_node $i; done
-start_server 12 "$net.12:8146" booking i-booking-12
-start_server 13 "$net.13:8146" booking i-booking-13
-wait_until 30 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
+for i in $controls 11 12 13; do start_node $i; done
+start_server 12 "$net.12:$control_port" booking i-booking-12
+start_server 13 "$net.13:$control_port" booking i-booking-13
+wait_until 30 put_config "$work/config.json" "$net.1:$control_port" 0 || cant_run "no configuration"
 for i in 11 12 13; do wait_until 30 is_ready $i || cant_run "sidecar $i isn't ready"; done
 sleep 2
 
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,7 +8,7 @@
 drain_s=2   # drain_timeout_s of the settings
 contact_s=3 # contact_s of the settings
 
-for i in 1 2 3; do settings $i control; done
+for i in $controls; do settings $i control; done
 settings 11 sidecar caller
 settings 12 sidecar archive
 settings 13 sidecar archive
@@ -19,15 +19,15 @@
  "services":[{"name":"archive","health_check_path":"/health","max_connections":110}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}
 JSON
-for i in 1 2 3 11 12 13; do start_node $i; done
+for i in $controls 11 12 13; do start_node $i; done
 # The beat that the leaving server had made before comes 2.5 s late.
 [ "$trouble" = 0 ] || export KILL_FILE=$work/victim
 echo "${pid_of[12]}" >"$work/victim"
-LATE_MS=2500 start_server 12 "$net.12:8146" archive i-leaving-12
+LATE_MS=2500 start_server 12 "$net.12:$control_port" archive i-leaving-12
 leaving_server=$!
 unset KILL_FILE
-start_server 13 "$net.13:8146" archive i-staying-13
-wait_until 30 put_config "$work/config.json" "$net.1:8146" 0 || cant_run "no configuration"
+start_server 13 "$net.13:$control_port" archive i-staying-13
+wait_until 30 put_config "$work/config.json" "$net.1:$control_port" 0 || cant_run "no configuration"
 for i in 11 12 13; do wait_until 30 is_ready $i || cant_run "sidecar $i isn't ready"; done
 sleep 3
 
@@ -71,6 +71,10 @@
   [ "$ms" -le "$from_ms" ] || { late=" DRAIN"; broken=$((broken + 1)); }
   note "$((ms - ack_ms)) ms after the ack: $line$late"
 done < <(grep "^run .* at=i-leaving-12 " "$work/runs")
+note "what the client sent and was answered:"
+cat "$work/calls" >>"$record"
+note "what the servers ran:"
+grep "^run" "$work/runs" >>"$record"
 note "$broken requests reached the leaving server too late; $(grep -c ' at=i-staying-13 ' "$work/runs") ran at the other"
 grep -q " at=i-staying-13 " "$work/runs" || cant_run "the other server ran nothing"
 [ $broken = 0 ] || exit 1
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -21,8 +21,9 @@
   done
 }
 stop_platform() {
+  kill -TERM "$watchdog" 2>/dev/null
   touch "$work/over"
-  for i in 1 2 3; do kill -TERM "$(cat "$work/pid$i")" 2>/dev/null; done
+  for i in $controls; do kill -TERM "$(cat "$work/pid$i")" 2>/dev/null; done
   wait
   end_all
 }
@@ -41,10 +42,12 @@
 }
 
 touch "$work/ends"
-for i in 1 2 3; do settings $i control; done
-for i in 1 2 3; do platform $i 2>/dev/null & done
+for i in $controls; do settings $i control; done
+for i in $controls; do platform $i 2>/dev/null & done
 config 1 /read/ >"$work/first.json"
-wait_until 30 put_config "$work/first.json" "$net.1:8146" 0 || cant_run "no configuration"
+wait_until 30 put_config "$work/first.json" "$net.1:$control_port" 0 || cant_run "no configuration"
+
+note "the first configuration was acknowledged by node 1"
 
 # Valid by the pages: a prefix that begins and ends with a slash, a known service, a higher revision.
 length=$([ "$trouble" = 0 ] && echo 100 || echo 60000)
@@ -55,7 +58,7 @@
 # control nodes whose process has ended by itself three times or more
 ended_often() {
   local i machines=0
-  for i in 1 2 3; do
+  for i in $controls; do
     [ "$(grep -c "^control node $i " "$work/ends")" -lt 3 ] || machines=$((machines + 1))
   done
   echo $machines
@@ -64,9 +67,9 @@
 # The operator sends the same call again, to another node each time, with a pause that grows, until
 # there is a clear answer.
 answer=0
-end=$((SECONDS + 60))
+end=$((SECONDS + 45))
 for ((try = 0; SECONDS < end; try++)); do
-  to=$net.$((try % 3 + 1)):8146
+  to=$net.$((try % 3 + 1)):$control_port
   answer=$("$standin" post "$to" /v1/Configuration.Replace 1 3000 <"$work/second.json")
   note "the operator's try $((try + 1)) at node $((try % 3 + 1)): status $answer"
   [[ $answer = 2* || $answer = 4* ]] && break
--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -295,9 +295,13 @@
   int victim = 0;
   if (killFile != nullptr) std::ifstream(killFile) >> victim;
   const int status = postTo(server.beatTo, "/v1/Instances.Deregister/" + server.id, "", "", 1000);
+  const auto acknowledged = Clock::now();
   if (status / 100 == 2 && victim > 0) ::kill(victim, SIGKILL);
+  const auto tookUs =
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - acknowledged).count();
   server.note("deregistered " + server.id + " status=" + std::to_string(status) +
-              " ms=" + std::to_string(nowMs()) + (victim > 0 ? " and killed the node" : ""));
+              " ms=" + std::to_string(nowMs()) +
+              (victim > 0 ? ", node killed " + std::to_string(tookUs) + " us after" : ""));
   if (lateMs == nullptr || std::atoi(lateMs) == 0) return;
   std::this_thread::sleep_for(std::chrono::milliseconds(std::atoi(lateMs)));
   const int late =
