Heads are written as they were checked, byte for byte

Cause: heads were checked as bytes and then parsed again by Poco, which decodes encoded words (RFC 2047), line ends included. What was written was never checked.

Change: the lines that are checked are the ones that are kept, values byte for byte; heads are written by the same module, and a head that would be read as another one is not written (for values that come from documents, as an instance's id). That is an invariant, counted and on in tests (head_is_writable).

Why it works: there is one representation between check and write, and the last step checks again.

--- a/src/http/body_framing.cpp
+++ b/src/http/body_framing.cpp
@@ -84,7 +84,8 @@
   if (chunkPart_ == ChunkPart::trailer) {
     if (line.empty()) return State::done;
     FieldCounts unused;
-    return checkFieldLine(line, unused) ? State::more : State::malformed;
+    const auto field = parseFieldLine(line);
+    return field && countField(*field, unused) ? State::more : State::malformed;
   }
   return consumeChunkSize(line);
 }
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -63,7 +63,19 @@
   requestComplete_ = framingKind == FramingKind::none;
   maybeSent_ = connection_->isOpen();
   setConnectionCallbacks();
-  connection_->write(serializeHead(request));
+  const auto head = serializeHead(request);
+  if (!pool_.acceptsRequestHead(head.has_value(), attemptId_)) {
+    refuseToSend();
+    return;
+  }
+  connection_->write(*head);
+}
+
+// Nothing of the request leaves this node; its owner hears so after this turn of the loop.
+void ClientExchange::refuseToSend() {
+  maybeSent_ = false;
+  connection_->close();
+  loop_.defer([self = shared_from_this()] { self->fail(Failure::notSent, MessageEnd::abandoned); });
 }
 
 void ClientExchange::setConnectionCallbacks() {
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -90,6 +90,7 @@
   void begin(TcpConnection::Ptr connection, const Poco::Net::HTTPRequest& request,
              FramingKind framingKind, bool reused);
   void setConnectionCallbacks();
+  void refuseToSend();
   void onData();
   void onConnectionEnd(TcpConnection::EndReason reason);
   /// Takes one head, interim or final, from the input. False where there is nothing more to take:
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -26,6 +26,13 @@
   return accepted;
 }
 
+bool ConnectionPool::acceptsRequestHead(bool writable, const std::string& attemptId) const {
+  if (!writable && options_.invariants) {
+    options_.invariants->recordViolation(ResponseInvariant::headIsWritable, "request " + attemptId);
+  }
+  return writable;
+}
+
 ClientExchange::Ptr ConnectionPool::startExchange(const Poco::Net::SocketAddress& to,
                                                   const Poco::Net::HTTPRequest& request,
                                                   FramingKind framingKind, Duration maxIdleTime,
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -46,6 +46,8 @@
   ConnectionPool(event::EventLoop& loop, Options options);
   /// Whether an answer with this framing is taken, by `answersMayEndByClose`.
   [[nodiscard]] bool acceptsFraming(const BodyFraming& framing, const std::string& attemptId) const;
+  /// Whether a request may be sent whose head is writable or not (serializeHead). Counts a refusal.
+  [[nodiscard]] bool acceptsRequestHead(bool writable, const std::string& attemptId) const;
 
   /// Begins an exchange with the server at `to`, on an idle connection or a new one. `maxIdleTime`:
   /// a connection idle for longer isn't used for this exchange, but gives way to a new one.
--- a/src/http/header_syntax.cpp
+++ b/src/http/header_syntax.cpp
@@ -56,25 +56,33 @@
                     [](char one, char other) { return toLower(one) == toLower(other); });
 }
 
-bool checkFieldLine(std::string_view line, FieldCounts& counts) {
+std::optional<FieldLine> parseFieldLine(std::string_view line) {
   const auto colon = line.find(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const FieldLine field{line.substr(0, colon), trimBlanks(line.substr(colon + 1))};
   // A folded line begins with a blank, which is no token.
-  if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) return false;
-  const auto name = line.substr(0, colon);
-  const auto value = trimBlanks(line.substr(colon + 1));
-  if (equalsIgnoringCase(name, "content-length")) {
+  if (!isWritableField(field.name, field.value)) return std::nullopt;
+  return field;
+}
+
+bool countField(const FieldLine& field, FieldCounts& counts) {
+  if (equalsIgnoringCase(field.name, "content-length")) {
     ++counts.contentLength;
-    return isDecimalNumber(value);
+    return isDecimalNumber(field.value);
   }
-  if (equalsIgnoringCase(name, "transfer-encoding")) {
+  if (equalsIgnoringCase(field.name, "transfer-encoding")) {
     ++counts.transferEncoding;
-    return equalsIgnoringCase(value, "chunked");
+    return equalsIgnoringCase(field.value, "chunked");
   }
-  if (equalsIgnoringCase(name, "host")) {
+  if (equalsIgnoringCase(field.name, "host")) {
     ++counts.host;
-    return !value.empty() && value.find_first_of(" \t,/@") == std::string_view::npos;
+    return !field.value.empty() && field.value.find_first_of(" \t,/@") == std::string_view::npos;
   }
   return true;
 }
 
+bool isWritableField(std::string_view name, std::string_view value) {
+  return isToken(name) && isPrintable(value);
+}
+
 }  // namespace merlingauge::http
--- a/src/http/header_syntax.hpp
+++ b/src/http/header_syntax.hpp
@@ -2,6 +2,7 @@
 // (RFC 9110, section 5.6; RFC 9112, sections 5 and 6). Pure functions without state.
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 namespace merlingauge::http {
@@ -28,8 +29,21 @@
   int host = 0;
 };
 
-/// Checks one field line without its line end and counts it in `counts`. False where the line is
-/// no field, or a framing field has a value that readers may understand differently.
-bool checkFieldLine(std::string_view line, FieldCounts& counts);
+/// One field of a head or a trailer, as it stands in the bytes of the message.
+struct FieldLine {
+  std::string_view name;
+  std::string_view value;  ///< without the blanks around it, otherwise as it came
+};
+
+/// Parses one line without its line end. nullopt where it is no field line.
+std::optional<FieldLine> parseFieldLine(std::string_view line);
+
+/// Counts the field in `counts`. False where it is a framing field whose value readers may
+/// understand differently.
+bool countField(const FieldLine& field, FieldCounts& counts);
+
+/// Whether a field written with this name and value is read as just this field: the name is a
+/// token, and the value has no control character.
+bool isWritableField(std::string_view name, std::string_view value);
 
 }  // namespace merlingauge::http
--- a/src/http/message_head.cpp
+++ b/src/http/message_head.cpp
@@ -1,11 +1,6 @@
 #include "http/message_head.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
-#include <Poco/Net/HTTPMessage.h>
-
 #include <charconv>
-#include <sstream>
 
 #include "http/header_syntax.hpp"
 
@@ -20,64 +15,84 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kLineEnd = "\r\n";
 // Far more than any known client or server sends; bounds the work for one head.
-constexpr int kMaxHeaderFields = 200;
+constexpr std::size_t kMaxHeaderFields = 200;
+
+// The lines of a complete head, one after the other, without their line ends.
+class HeadLines {
+ public:
+  explicit HeadLines(std::string_view head)
+      : rest_(head.substr(0, head.size() - kLineEnd.size())) {}
+
+  std::optional<std::string_view> next() {
+    const auto end = rest_.find(kLineEnd);
+    if (end == std::string_view::npos) return std::nullopt;
+    const auto line = rest_.substr(0, end);
+    rest_.remove_prefix(end + kLineEnd.size());
+    return line;
+  }
 
-enum class HeadKind : std::uint8_t { request, response };
+ private:
+  std::string_view rest_;  // behind it lies the blank line
+};
 
-bool isRequestLine(std::string_view line) {
+bool isHttpVersion(std::string_view text) { return text == "HTTP/1.1" || text == "HTTP/1.0"; }
+
+bool parseRequestLine(std::string_view line, HTTPRequest& request) {
   const auto methodEnd = line.find(' ');
   if (methodEnd == std::string_view::npos) return false;
   const auto targetEnd = line.find(' ', methodEnd + 1);
   if (targetEnd == std::string_view::npos) return false;
-  if (line.find(' ', targetEnd + 1) != std::string_view::npos) return false;
   const auto method = line.substr(0, methodEnd);
   const auto target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
   const auto version = line.substr(targetEnd + 1);
-  return isToken(method) && !target.empty() && target.front() == '/' &&
-         target.find('\t') == std::string_view::npos &&
-         (version == "HTTP/1.1" || version == "HTTP/1.0");
+  const bool isTarget = target.starts_with('/') && target.find('\t') == std::string_view::npos;
+  if (!isPrintable(line) || !isToken(method) || !isTarget || !isHttpVersion(version)) return false;
+  request.setMethod(std::string(method));
+  request.setURI(std::string(target));
+  request.setVersion(std::string(version));
+  return true;
+}
+
+bool parseStatusLine(std::string_view line, HTTPResponse& response) {
+  constexpr std::size_t kVersionSize = 8;
+  constexpr std::size_t kCodeAt = kVersionSize + 1;
+  constexpr std::size_t kCodeSize = 3;
+  constexpr std::size_t kReasonAt = kCodeAt + kCodeSize + 1;
+  if (line.size() < kCodeAt + kCodeSize || !isPrintable(line)) return false;
+  const auto version = line.substr(0, kVersionSize);
+  const auto code = line.substr(kCodeAt, kCodeSize);
+  if (!isHttpVersion(version) || line[kVersionSize] != ' ' || !isDecimalNumber(code)) return false;
+  const bool hasReason = line.size() >= kReasonAt;
+  if (hasReason && line[kReasonAt - 1] != ' ') return false;
+  int status = 0;
+  std::from_chars(code.data(), code.data() + code.size(), status);
+  response.setVersion(std::string(version));
+  response.setStatus(static_cast<HTTPResponse::HTTPStatus>(status));
+  response.setReason(hasReason ? std::string(line.substr(kReasonAt)) : std::string());
+  return true;
 }
 
-bool isStatusLine(std::string_view line) {
-  constexpr std::size_t kCodeAt = 9;  // behind "HTTP/1.1 "
-  constexpr std::size_t kCodeEnd = kCodeAt + 3;
-  if (line.size() < kCodeEnd) return false;
-  const auto version = line.substr(0, kCodeAt);
-  if (version != "HTTP/1.1 " && version != "HTTP/1.0 ") return false;
-  return isDecimalNumber(line.substr(kCodeAt, 3)) &&
-         (line.size() == kCodeEnd || line[kCodeEnd] == ' ');
+// Takes the fields over as their bytes are: a value that is decoded on the way in could have line
+// ends on the way out, and a head that was one would be read as two.
+bool parseFields(HeadLines& lines, FieldCounts& counts, HTTPMessage& message) {
+  std::size_t fields = 0;
+  while (const auto line = lines.next()) {
+    const auto field = parseFieldLine(*line);
+    if (!field || !countField(*field, counts)) return false;
+    if (++fields > kMaxHeaderFields) return false;
+    message.add(std::string(field->name), std::string(field->value));
+  }
+  return true;
 }
 
 // Whether the framing fields leave one way only to read the message.
-bool isUnambiguous(const FieldCounts& counts, HeadKind kind, bool isHttp11) {
+bool isUnambiguous(const FieldCounts& counts, const HTTPMessage& message) {
   if (counts.contentLength + counts.transferEncoding > 1) return false;
-  if (counts.transferEncoding > 0 && !isHttp11) return false;
-  if (kind == HeadKind::response) return true;
-  return isHttp11 ? counts.host == 1 : counts.host <= 1;
+  return counts.transferEncoding == 0 || message.getVersion() == HTTPMessage::HTTP_1_1;
 }
 
-// False where two readers could see two different messages, or none.
-bool isStrictHead(std::string_view head, HeadKind kind) {
-  if (head.size() < kHeadEnd.size()) return false;
-  head.remove_suffix(kLineEnd.size());  // the blank line
-  FieldCounts counts;
-  bool isFirstLine = true;
-  bool isHttp11 = false;
-  while (!head.empty()) {
-    const auto end = head.find(kLineEnd);
-    if (end == std::string_view::npos) return false;
-    const auto line = head.substr(0, end);
-    head.remove_prefix(end + kLineEnd.size());
-    if (!isPrintable(line)) return false;
-    if (!isFirstLine) {
-      if (!checkFieldLine(line, counts)) return false;
-      continue;
-    }
-    if (kind == HeadKind::request ? !isRequestLine(line) : !isStatusLine(line)) return false;
-    isHttp11 = line.find("HTTP/1.1") != std::string_view::npos;
-    isFirstLine = false;
-  }
-  return !isFirstLine && isUnambiguous(counts, kind, isHttp11);
+bool namesItsHost(const FieldCounts& counts, const HTTPRequest& request) {
+  return request.getVersion() == HTTPMessage::HTTP_1_1 ? counts.host == 1 : counts.host <= 1;
 }
 
 BodyFraming framingOf(const HTTPMessage& message, FramingKind withoutFields) {
@@ -89,23 +104,15 @@
   return {length == 0 ? FramingKind::none : FramingKind::contentLength, length};
 }
 
-template <class Message>
-bool parseWithPoco(std::string_view head, Message& message) {
-  try {
-    Poco::MemoryInputStream stream(head.data(), static_cast<std::streamsize>(head.size()));
-    message.setFieldLimit(kMaxHeaderFields);
-    message.read(stream);
-    return true;
-  } catch (const Poco::Exception&) {
-    return false;
+std::optional<std::string> serialize(const std::string& startLine, const HTTPMessage& message) {
+  if (!isPrintable(startLine)) return std::nullopt;
+  std::string head = startLine;
+  head.append(kLineEnd);
+  for (const auto& [name, value] : message) {
+    if (!isWritableField(name, value)) return std::nullopt;
+    head.append(name).append(": ").append(value).append(kLineEnd);
   }
-}
-
-template <class Message>
-std::string serialize(const Message& message) {
-  std::ostringstream out;
-  message.write(out);
-  return out.str();
+  return head.append(kLineEnd);
 }
 
 }  // namespace
@@ -126,15 +133,25 @@
 }
 
 std::optional<BodyFraming> parseRequestHead(std::string_view head, HTTPRequest& request) {
-  if (!isStrictHead(head, HeadKind::request) || !parseWithPoco(head, request)) return std::nullopt;
+  if (!head.ends_with(kHeadEnd)) return std::nullopt;
+  HeadLines lines(head);
+  const auto requestLine = lines.next();
+  if (!requestLine || !parseRequestLine(*requestLine, request)) return std::nullopt;
+  FieldCounts counts;
+  if (!parseFields(lines, counts, request)) return std::nullopt;
+  if (!isUnambiguous(counts, request) || !namesItsHost(counts, request)) return std::nullopt;
   return framingOf(request, FramingKind::none);
 }
 
 std::optional<BodyFraming> parseResponseHead(std::string_view head, bool toHeadRequest,
                                              HTTPResponse& response) {
-  if (!isStrictHead(head, HeadKind::response) || !parseWithPoco(head, response)) {
-    return std::nullopt;
-  }
+  if (!head.ends_with(kHeadEnd)) return std::nullopt;
+  HeadLines lines(head);
+  const auto statusLine = lines.next();
+  if (!statusLine || !parseStatusLine(*statusLine, response)) return std::nullopt;
+  FieldCounts counts;
+  if (!parseFields(lines, counts, response)) return std::nullopt;
+  if (!isUnambiguous(counts, response)) return std::nullopt;
   const int status = response.getStatus();
   if (toHeadRequest || status < 200 || status == HTTPResponse::HTTP_NO_CONTENT ||
       status == HTTPResponse::HTTP_NOT_MODIFIED) {
@@ -143,8 +160,16 @@
   return framingOf(response, FramingKind::untilClose);
 }
 
-std::string serializeHead(const HTTPRequest& request) { return serialize(request); }
+std::optional<std::string> serializeHead(const HTTPRequest& request) {
+  const auto& target = request.getURI();
+  if (!isToken(request.getMethod()) || target.find(' ') != std::string::npos) return std::nullopt;
+  return serialize(request.getMethod() + " " + target + " " + request.getVersion(), request);
+}
 
-std::string serializeHead(const HTTPResponse& response) { return serialize(response); }
+std::optional<std::string> serializeHead(const HTTPResponse& response) {
+  return serialize(response.getVersion() + " " + std::to_string(response.getStatus()) + " " +
+                       response.getReason(),
+                   response);
+}
 
 }  // namespace merlingauge::http
--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -41,8 +41,11 @@
 std::optional<BodyFraming> parseResponseHead(std::string_view head, bool toHeadRequest,
                                              Poco::Net::HTTPResponse& response);
 
-/// The bytes of a head with its blank line.
-std::string serializeHead(const Poco::Net::HTTPRequest& request);
-std::string serializeHead(const Poco::Net::HTTPResponse& response);
+/// The bytes of a head with its blank line. nullopt where they would be read as another head than
+/// `request`: a control character in a part of it, which may come from a document and not from a
+/// checked head, could end the head early.
+std::optional<std::string> serializeHead(const Poco::Net::HTTPRequest& request);
+/// The same for a response.
+std::optional<std::string> serializeHead(const Poco::Net::HTTPResponse& response);
 
 }  // namespace merlingauge::http
--- a/src/http/response_invariants.cpp
+++ b/src/http/response_invariants.cpp
@@ -24,6 +24,8 @@
       return "nodes_frame_responses";
     case ResponseInvariant::successIsSealed:
       return "success_is_sealed";
+    case ResponseInvariant::headIsWritable:
+      return "head_is_writable";
     case ResponseInvariant::count:
       break;
   }
--- a/src/http/response_invariants.hpp
+++ b/src/http/response_invariants.hpp
@@ -18,6 +18,7 @@
   partialEndsInReset,   ///< a part of a body that a close would complete ends in a reset
   nodesFrameResponses,  ///< no response of another node ends by the close of the connection
   successIsSealed,      ///< a success that goes to a client has its instance's seal
+  headIsWritable,  ///< a head, of a request too, is read back as the fields it was written from
   count
 };
 
@@ -26,7 +27,8 @@
         ResponseInvariant::answersItsRequest,   ResponseInvariant::sourceIsWhole,
         ResponseInvariant::bodyIsTheSources,    ResponseInvariant::declaredLength,
         ResponseInvariant::framedBeforeClose,   ResponseInvariant::partialEndsInReset,
-        ResponseInvariant::nodesFrameResponses, ResponseInvariant::successIsSealed};
+        ResponseInvariant::nodesFrameResponses, ResponseInvariant::successIsSealed,
+        ResponseInvariant::headIsWritable};
 
 /// The invariant in snake case, for metrics and the status.
 const char* nameOf(ResponseInvariant invariant);
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -83,8 +83,13 @@
     abortResponse();
     return;
   }
+  const auto head = serializeHead(response);
+  if (!check(ResponseInvariant::headIsWritable, head.has_value())) {
+    abortResponse();
+    return;
+  }
   if (endsByClose() && connection->isFront(*this)) connection->setAbortiveClose();
-  write(serializeHead(response));
+  write(*head);
 }
 
 void ServerExchange::sendBody(std::string_view bytes) {
--- a/tests/http/client_exchange_test.cpp
+++ b/tests/http/client_exchange_test.cpp
@@ -127,6 +127,7 @@
 
   // The body of each complete answer, or the kind of failure.
   Outcomes outcomes_;
+  std::string extraValue_ = "plain";  // of a header of each request
   event::EventLoop loop_;
   ConnectionPool pool_{loop_, {}};
 
@@ -134,6 +135,7 @@
   void start(int number) {
     net::HTTPRequest request("POST", "/", "HTTP/1.1");
     request.set("Attempt-Id", std::to_string(number));
+    request.set("Expected-Instance", extraValue_);
     const auto kind = bodyBytes_ > 0 ? FramingKind::contentLength : FramingKind::none;
     setFramingHeaders({kind, bodyBytes_}, request);
     const auto exchange = pool_.startExchange(server_, request, kind, std::chrono::seconds(20));
@@ -218,6 +220,13 @@
   EXPECT_EQ(pool_.connectionsOpened(), 1U);
 }
 
+// Guards against a head that its receiver would read as two requests: nothing of it is sent.
+TEST_F(ClientExchangeTest, HeadWithALineEndInsideIsNotSent) {
+  extraValue_ = "a\r\nContent-Length: 0\r\n\r\nGET /hidden HTTP/1.1";
+  run({{response("1")}}, 1, 10);
+  EXPECT_EQ(outcomes_, (Outcomes{"notSent"}));
+}
+
 TEST_F(ClientExchangeTest, AnswerBeforeRequestIsSentEndsConnection) {
   // More than the kernels between them hold: most of it is still here when the answer comes.
   constexpr std::size_t kBodyBytes = 48U << 20;
--- a/tests/loopback/fault_matrix_test.cpp
+++ b/tests/loopback/fault_matrix_test.cpp
@@ -164,9 +164,9 @@
   }
   void ask(const std::vector<ScriptedRequest>& requests) {
     if (!client_->isOpen()) client_ = newClient();
-    for (const auto& [path, id] : requests) {
-      if (path.find("/once/") != std::string::npos) once_.insert(id);
-      asked_.push_back(id);
+    for (const auto& request : requests) {
+      if (request.path.find("/once/") != std::string::npos) once_.insert(request.id);
+      asked_.push_back(request.id);
     }
     asking_ = true;
     client_->send(requests);
--- a/tests/loopback/instance_server.cpp
+++ b/tests/loopback/instance_server.cpp
@@ -55,6 +55,7 @@
       ledger_.addViolation("changed", "the body of " + head->id + " is not the caller's");
     }
     connection.received.erase(0, head->size + *bodySize);
+    if (onRequest) onRequest(text);
     counted = false;
     const bool isLong = text.find("/big ") != std::string::npos;
     respond(connection, head->id, isLong, isAddressedHere);
--- a/tests/loopback/instance_server.hpp
+++ b/tests/loopback/instance_server.hpp
@@ -21,6 +21,8 @@
                  RequestLedger& ledger);
   /// Where set: the bytes that it sends in place of the correct response.
   std::function<std::string(const std::string& id, const std::string& correctResponse)> substitute;
+  /// Where set: called with the head of each request that has come whole.
+  std::function<void(const std::string& head)> onRequest;
   /// Where set: how long the response to the attempt `id` takes.
   std::function<Duration(const std::string& id)> delay;
   /// Where set: whether the second half of the response to the attempt `id` comes later.
--- a/tests/loopback/scripted_client.cpp
+++ b/tests/loopback/scripted_client.cpp
@@ -12,9 +12,9 @@
 
 void ScriptedClient::send(const std::vector<ScriptedRequest>& requests) {
   std::string bytes;
-  for (const auto& [path, id] : requests) {
+  for (const auto& [path, id, extraHeaders] : requests) {
     pending_.push_back({id, path.find("/big") != std::string::npos});
-    bytes += requestTo(path, id);
+    bytes += requestTo(path, id, extraHeaders);
   }
   if (isOpen()) {
     connection_->write(bytes);
@@ -57,6 +57,7 @@
   const auto body = head.chunked ? decodeChunks(connection_->received, head.size)
                                  : connection_->received.substr(head.size, head.bodySize);
   connection_->received.erase(0, head.size + head.bodySize);
+  if (onHead) onHead(headText);
   if (pending_.empty()) {
     ledger_.addViolation("unasked", "an answer where no request waits: " + headText);
     return false;
--- a/tests/loopback/scripted_client.hpp
+++ b/tests/loopback/scripted_client.hpp
@@ -16,6 +16,7 @@
 struct ScriptedRequest {
   std::string path;
   std::string id;
+  std::string extraHeaders = {};  ///< field lines, each with its line end
 };
 
 /// Sends requests, pipelined where several are given, and records each response and each violation
@@ -24,6 +25,8 @@
  public:
   /// Every request is answered, or the connection has ended.
   std::function<void()> onIdle;
+  /// Where set: called with the head of each final response.
+  std::function<void(const std::string& head)> onHead;
   ScriptedClient(EventLoop& loop, const SocketAddress& address, RequestLedger& ledger);
   ~ScriptedClient() {
     if (connection_) connection_->reset();
--- a/tests/loopback/test_messages.cpp
+++ b/tests/loopback/test_messages.cpp
@@ -87,10 +87,11 @@
   return repeatedText(id, isLong ? kLongBodySize : kShortBodySize);
 }
 
-std::string requestTo(const std::string& path, const std::string& id) {
+std::string requestTo(const std::string& path, const std::string& id,
+                      const std::string& extraHeaders) {
   const auto body = requestBody(id);
-  return "POST " + path + " HTTP/1.1\r\nHost: echo.example\r\nAttempt-Id: " + id +
-         "\r\nDeadline-Ms: 1500\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+  return "POST " + path + " HTTP/1.1\r\nHost: echo.example\r\nAttempt-Id: " + id + "\r\n" +
+         extraHeaders + "Deadline-Ms: 1500\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
          body;
 }
 
