A leaving is held by control nodes before the sidecar acknowledges it

Cause: beside a server a leaving was acknowledged at once, and nobody but that process knew of it.

Change: a node that is no control node sends the update to control nodes and acknowledges once one more holds it than may be lost at once (UpdateReplicator). A control node takes it as an update of its own, so that peers get it from there at once, and confirms only with its quorum lease and if it stays. A node without such a confirmation answers 503, and the server asks again.

--- a/src/gossip/gossip_server.cpp
+++ b/src/gossip/gossip_server.cpp
@@ -32,9 +32,22 @@
     reply(toDiscoveryResponse(parts_.directory.discoveryAnswer()));
     return;
   }
+  if (const auto* replication = std::get_if<ReplicationRequest>(&request)) {
+    reply(replicationResponse(holdItems(*replication)));
+    return;
+  }
   handlePull(std::get<PullRequest>(request), std::move(reply));
 }
 
+// True where this node counts as a replica from now on: a control node that stays and may act for
+// others.
+bool GossipServer::holdItems(const ReplicationRequest& request) {
+  auto& registry = parts_.dependencies.registry;
+  if (registry.adopt(request.items, parts_.dependencies.environment.now())) notifyUpdate();
+  return parts_.options.isControlNode && parts_.lease.isHeld() && !stopped_ &&
+         !registry.selfInfo().shuttingDown;
+}
+
 void GossipServer::handlePull(const PullRequest& request, GossipReplyCallback reply) {
   const auto& puller = request.sender;
   parts_.contacts.onRequest(puller);
--- a/src/gossip/gossip_server.hpp
+++ b/src/gossip/gossip_server.hpp
@@ -77,6 +77,7 @@
   enum class HoldResult : std::uint8_t { updated, holdTimeOver };
 
   void handlePull(const PullRequest& request, GossipReplyCallback reply);
+  bool holdItems(const ReplicationRequest& request);
   void mergeItems(const PullRequest& request);
   void holdOrAnswer(const PullRequest& request, PendingPoll poll);
   void hold(const NodeId& puller, Duration holdTime, PendingPoll poll);
--- a/src/gossip/gossip_service.cpp
+++ b/src/gossip/gossip_service.cpp
@@ -23,7 +23,8 @@
       client_(
           {dependencies_, options_, observer_, *this, directory_, selector_, contacts_, lease_}),
       server_(
-          {dependencies_, options_, observer_, *this, directory_, selector_, contacts_, lease_}) {}
+          {dependencies_, options_, observer_, *this, directory_, selector_, contacts_, lease_}),
+      replicator_(dependencies_, options_, directory_) {}
 
 void GossipService::tick() {
   if (stopped_) return;
@@ -62,6 +63,7 @@
   discovery_.stop();
   client_.stop();
   server_.stop();
+  replicator_.stop();
 }
 
 }  // namespace merlingauge::gossip
--- a/src/gossip/gossip_service.hpp
+++ b/src/gossip/gossip_service.hpp
@@ -19,6 +19,7 @@
 #include "gossip/peer_contacts.hpp"
 #include "gossip/peer_selector.hpp"
 #include "gossip/quorum_lease.hpp"
+#include "gossip/update_replicator.hpp"
 
 namespace merlingauge::gossip {
 
@@ -41,6 +42,12 @@
   void stop();
   void setSeeds(std::vector<NodeId> seeds) { options_.seeds = std::move(seeds); }
 
+  /// Has an update of this node held by control nodes (UpdateReplicator::replicate).
+  void replicate(const InstanceId& id, std::size_t replicas, Duration timeout,
+                 UpdateReplicator::Callback done) {
+    replicator_.replicate(id, replicas, timeout, std::move(done));
+  }
+
   /// Asks a node that has not been heard for a while whether it is there (PeerContacts::probe).
   void probe(const NodeId& node, const std::function<void(bool reachable)>& onResult) {
     contacts_.probe(node, onResult);
@@ -89,6 +96,7 @@
   BootstrapDiscovery discovery_;
   GossipClient client_;
   GossipServer server_;
+  UpdateReplicator replicator_;
   bool stopped_ = false;
 };
 
--- a/src/gossip/pull_messages.cpp
+++ b/src/gossip/pull_messages.cpp
@@ -126,6 +126,11 @@
   return {{wire::kSender, request.sender.str()}, {wire::kDiscovery, 1}};
 }
 
+json toJson(const ReplicationRequest& request) {
+  return {
+      {wire::kSender, request.sender.str()}, {wire::kReplicate, 1}, {wire::kItems, request.items}};
+}
+
 GossipRequest requestFromJson(json message) {
   // Probes and discovery are answered whoever sends them, so their sender is not asked for.
   const auto sender = [&] {
@@ -133,6 +138,9 @@
   };
   if (message.contains(wire::kProbe)) return ProbeRequest{sender()};
   if (message.contains(wire::kDiscovery)) return DiscoveryRequest{sender()};
+  if (message.contains(wire::kReplicate)) {
+    return ReplicationRequest{sender(), requiredMember(message, wire::kItems)};
+  }
   return pullFromJson(std::move(message));
 }
 
@@ -193,6 +201,14 @@
   return json{{wire::kRetryAfter, wholeMillis(wait) + 1}}.dump();
 }
 
+std::string replicationResponse(bool holds) {
+  return holds ? json{{wire::kHolds, 1}}.dump() : emptyResponse();
+}
+
+bool holdsItems(const json& replicationResponse) {
+  return replicationResponse.is_object() && replicationResponse.contains(wire::kHolds);
+}
+
 std::string toDiscoveryResponse(const std::vector<DiscoveredControlNode>& nodes) {
   json list = json::array();
   for (const auto& node : nodes) list.push_back({node.id.str(), node.zone.str()});
--- a/src/gossip/pull_messages.hpp
+++ b/src/gossip/pull_messages.hpp
@@ -55,11 +55,18 @@
   NodeId sender;
 };
 
-using GossipRequest = std::variant<PullRequest, ProbeRequest, DiscoveryRequest>;
+/// Asks a control node to hold updates of the sender, which may end before anybody pulls them.
+struct ReplicationRequest {
+  NodeId sender;
+  nlohmann::json items;  ///< list of registry items
+};
+
+using GossipRequest = std::variant<PullRequest, ProbeRequest, DiscoveryRequest, ReplicationRequest>;
 
 nlohmann::json toJson(const PullRequest& request);
 nlohmann::json toJson(const ProbeRequest& request);
 nlohmann::json toJson(const DiscoveryRequest& request);
+nlohmann::json toJson(const ReplicationRequest& request);
 /// Throws DecodeError. The items are moved out of `message`.
 GossipRequest requestFromJson(nlohmann::json message);
 
@@ -117,6 +124,10 @@
 std::string wholeVectorWantedResponse();
 std::string retryAfterResponse(Duration wait);
 
+/// Response to a ReplicationRequest. `holds`: the items are held by a control node that counts.
+std::string replicationResponse(bool holds);
+bool holdsItems(const nlohmann::json& replicationResponse);
+
 /// One control node as bootstrap discovery tells of it.
 struct DiscoveredControlNode {
   NodeId id;
--- a/src/gossip/wire_keys.hpp
+++ b/src/gossip/wire_keys.hpp
@@ -8,13 +8,15 @@
 /// HTTP path that all messages of the protocol are posted to.
 constexpr const char* kPath = "/news";
 
-// Requests. Which kind a request is, is told by the key it carries: kProbe, kDiscovery, or neither
-// for a pull.
+// Requests. Which kind a request is, is told by the key it carries: kProbe, kDiscovery, kReplicate,
+// or none of them for a pull.
 
 /// 1: a health check; the answer is an empty object.
 constexpr const char* kProbe = "p";
 /// 1: bootstrap discovery; the answer has kControlNodes.
 constexpr const char* kDiscovery = "g";
+/// 1: the items under kItems are to be held before the answer, which then has kHolds.
+constexpr const char* kReplicate = "k";
 /// NodeId: the sender of the request.
 constexpr const char* kSender = "f";
 /// Integer: sequence of the committed register value that the puller has.
@@ -63,6 +65,11 @@
 /// 1: the sender is a control node without contact to a quorum of the voters.
 constexpr const char* kOutOfQuorum = "u";
 
+// Response to a replication request.
+
+/// 1: the sender of the response is a replica: it holds the items and counts as a control node.
+constexpr const char* kHolds = "k";
+
 // Response to bootstrap discovery.
 
 /// List of [node, zone]: the control nodes known to the sender; the zone is empty where unknown.
--- a/src/membership/instance_registry.cpp
+++ b/src/membership/instance_registry.cpp
@@ -306,17 +306,42 @@
   return changed;
 }
 
+bool InstanceRegistry::adopt(const json& items, TimePoint now) {
+  lastNow_ = now;
+  bool changed = false;
+  for (const auto& item : items) {
+    if (kindOf(item) != ItemKind::instance) continue;
+    auto instance = decodeInstance(item).instance;
+    if (!takesPrecedence(instance)) continue;
+    write(std::move(instance), now);
+    changed = true;
+  }
+  return changed;
+}
+
+std::string InstanceRegistry::instanceItem(const InstanceId& id, TimePoint now) const {
+  if (instances_.find(id) == nullptr) return "[]";
+  std::string list;
+  appendItem(ItemKey(id), now, list);
+  return list + "]";
+}
+
+bool InstanceRegistry::takesPrecedence(Instance& update) const {
+  const auto* item = instances_.find(update.id);
+  if (item == nullptr) return true;
+  const auto& held = item->instance;
+  if (precedenceOf(update) <= precedenceOf(held)) return false;
+  // A node that learnt only of the end of an instance does not know its service.
+  if (update.service.empty()) {
+    update.service = held.service;
+    update.address = held.address;
+  }
+  return true;
+}
+
 bool InstanceRegistry::mergeInstance(InstanceUpdate update, TimePoint now) {
   auto& instance = update.instance;
-  if (const auto* item = instances_.find(instance.id)) {
-    const auto& held = item->instance;
-    if (precedenceOf(instance) <= precedenceOf(held)) return false;
-    // A node that learnt only of the end of an instance does not know its service.
-    if (instance.service.empty()) {
-      instance.service = held.service;
-      instance.address = held.address;
-    }
-  }
+  if (!takesPrecedence(instance)) return false;
   if (instance.reporter == self_) expiry_.expectHeartbeat(instance.id, now);
   put(std::move(instance), std::move(update.dot), now - update.closedFor);
   return true;
--- a/src/membership/instance_registry.hpp
+++ b/src/membership/instance_registry.hpp
@@ -111,6 +111,14 @@
     return dots_.sourceTable();
   }
 
+  /// Joins a node's updates on instances, as merge() does, but as updates of this node: peers get
+  /// them from here at once, whether or not the node that made them lives to be pulled from. True
+  /// if an instance has changed. Throws DecodeError at a malformed item.
+  bool adopt(const nlohmann::json& items, TimePoint now);
+  /// What is known of the instance, as the text of a JSON list of one item; an empty list where
+  /// nothing is.
+  [[nodiscard]] std::string instanceItem(const InstanceId& id, TimePoint now) const;
+
   // ---- Nodes.
 
   [[nodiscard]] const std::map<NodeId, NodeInfo>& nodes() const { return nodes_.nodes(); }
@@ -150,6 +158,8 @@
   [[nodiscard]] std::optional<HeartbeatResult> resultWithoutUpdate(const Instance& held,
                                                                    const Instance& server) const;
   bool mergeInstance(InstanceUpdate update, TimePoint now);
+  /// Whether the update overrides what is held of its instance; completes it from that where so.
+  bool takesPrecedence(Instance& update) const;
   bool mergeNode(NodeUpdate update);
   bool refute(const NodeInfo& update);
   void appendBeyondVector(const VersionVector& seen, std::size_t maxBytes, TimePoint now,
--- a/src/node/replication_waiter.cpp
+++ b/src/node/replication_waiter.cpp
@@ -15,7 +15,7 @@
 ReplicationWaiter::ReplicationWaiter(const Settings& settings, const Lifecycle& lifecycle,
                                      const membership::InstanceRegistry& registry,
                                      const consensus::RegisterReplica& replica,
-                                     const gossip::GossipService& gossip,
+                                     gossip::GossipService& gossip,
                                      const ControlNodeLiveness& controlNodes)
     : settings_(settings),
       lifecycle_(lifecycle),
@@ -25,9 +25,9 @@
       controlNodes_(controlNodes) {}
 
 void ReplicationWaiter::whenReplicated(const InstanceId& id, TimePoint now, Callback done) {
-  // The ingress beside the server rejects what comes for it: that needs no other node.
-  if (settings_.hasIngress()) {
-    done(true);
+  // Only control nodes are pulled from by enough others for their pulls to tell.
+  if (!registry_.selfInfo().isControlNode) {
+    gossip_.replicate(id, requiredHolders(), kReplicationTimeout, std::move(done));
     return;
   }
   if (!controlNodes_.mayActForOthers()) {
@@ -46,6 +46,12 @@
   return std::min(settings_.faultTolerance + self, otherVoters);
 }
 
+// This node may be lost beside as many control nodes as are tolerated: one more has to hold it.
+std::size_t ReplicationWaiter::requiredHolders() const {
+  const auto voters = replica_.committedValue().voters.size();
+  return std::min(settings_.faultTolerance + 1, std::max<std::size_t>(voters, 1));
+}
+
 bool ReplicationWaiter::isReplicated(const InstanceId& id, std::size_t replicas) const {
   if (!controlNodes_.mayActForOthers()) return false;
   const auto dot = registry_.dotOf(id);
--- a/src/node/replication_waiter.hpp
+++ b/src/node/replication_waiter.hpp
@@ -16,8 +16,9 @@
 
 namespace merlingauge::node {
 
-/// A deregistration must outlive the loss of as many control nodes as may be lost at once.
-/// Event-loop thread only; all references must outlive it.
+/// A deregistration must outlive the loss of as many control nodes as may be lost at once, and of
+/// the node that acknowledges it: any node's process may end right after. Event-loop thread only;
+/// all references must outlive it.
 class ReplicationWaiter {
  public:
   /// Called once: true if enough replicas hold the update.
@@ -25,7 +26,7 @@
 
   ReplicationWaiter(const Settings& settings, const Lifecycle& lifecycle,
                     const membership::InstanceRegistry& registry,
-                    const consensus::RegisterReplica& replica, const gossip::GossipService& gossip,
+                    const consensus::RegisterReplica& replica, gossip::GossipService& gossip,
                     const ControlNodeLiveness& controlNodes);
 
   /// Calls `done` once what is known here of the instance is replicated, or false after a time-out,
@@ -41,14 +42,17 @@
     Callback done;
     TimePoint deadline;
   };
+  /// How many other control nodes must hold an update of this control node.
   [[nodiscard]] std::size_t requiredReplicas() const;
+  /// How many control nodes must hold an update of this node, which is none.
+  [[nodiscard]] std::size_t requiredHolders() const;
   [[nodiscard]] bool isReplicated(const InstanceId& id, std::size_t replicas) const;
 
   const Settings& settings_;
   const Lifecycle& lifecycle_;
   const membership::InstanceRegistry& registry_;
   const consensus::RegisterReplica& replica_;
-  const gossip::GossipService& gossip_;
+  gossip::GossipService& gossip_;
   const ControlNodeLiveness& controlNodes_;
   std::vector<PendingWait> pending_;
 };
