--- a/src/cli/check_command.cpp
+++ b/src/cli/check_command.cpp
@@ -1,9 +1,9 @@
 // check_command: `check FILE`.
 #include <iostream>
-#include <nlohmann/json.hpp>
 
 #include "cli/commands.hpp"
 #include "cli/input_file.hpp"
+#include "config/document_parser.hpp"
 #include "config/route_table.hpp"
 #include "node/settings.hpp"
 
@@ -12,9 +12,9 @@
 namespace {
 // One line that names the field; empty where the document is valid.
 std::string findProblem(const std::string& text) {
-  const auto document = nlohmann::json::parse(text, nullptr, false);
-  if (document.is_object() && document.contains("route_rules")) {
-    const auto parsed = config::RouteTable::parse(document);
+  const auto document = config::parseDocument(text);
+  if (document && document->is_object() && document->contains("route_rules")) {
+    const auto parsed = config::RouteTable::parse(*document);
     return parsed.error ? parsed.error->message() : "";
   }
   const auto parsed = node::parseSettings(text);
--- a/src/config/document_parser.hpp
+++ b/src/config/document_parser.hpp
@@ -7,8 +7,12 @@
 
 namespace merlingauge::config {
 
-/// The document in `text`; none where that is no JSON, or is nested deeper than any document of
-/// this system: copying and writing a document take a level of the stack for each of its own.
+/// Whether a text may be parsed, if it is JSON at all: it is nested no deeper and has no more
+/// values than any document of this system. Copying and writing a document take a level of the
+/// stack for each of its own, and each value takes many times the memory of its text.
+bool isWithinDocumentBounds(std::string_view text);
+
+/// The document in `text`; none where that is no JSON, or not within these bounds.
 std::optional<nlohmann::json> parseDocument(std::string_view text);
 
 }  // namespace merlingauge::config
--- a/src/config/route_table.cpp
+++ b/src/config/route_table.cpp
@@ -117,7 +117,7 @@
   auto& host = hosts_[hostKey(hostname)];
   const auto index = routes_.size();
   const auto& added = routes_.emplace_back(std::move(route));
-  host.longestPrefix = std::max(host.longestPrefix, added.pathPrefix.size());
+  host.prefixLengths.insert(added.pathPrefix.size());
   const auto [other, isNew] = host.indexByPrefix.emplace(added.pathPrefix, index);
   if (isNew) return std::nullopt;
   return DocumentError{"routes " + routes_[other->second].name + " and " + added.name,
@@ -132,19 +132,19 @@
   limits_.idleTimeout = fromSeconds(limits.value("idle_timeout_s", toSeconds(limits_.idleTimeout)));
 }
 
-// A prefix ends with a slash, so one look-up for each slash of the path finds the longest.
+// One look-up for each length that a prefix of the host has, from the longest: their number doesn't
+// grow with the slashes of the path.
 const Route* RouteTable::findRoute(std::string_view host, std::string_view uri) const {
   const auto found = hosts_.find(hostKey(host));
   if (found == hosts_.end()) return nullptr;
   const auto& routes = found->second;
   const auto path = uri.substr(0, uri.find_first_of("?#"));
-  auto end = std::min(path.size(), routes.longestPrefix);
-  while (end > 0) {
-    const auto slash = path.rfind('/', end - 1);
-    if (slash == std::string_view::npos) break;
-    const auto match = routes.indexByPrefix.find(path.substr(0, slash + 1));
+  const auto& lengths = routes.prefixLengths;
+  for (auto next = lengths.upper_bound(path.size()); next != lengths.begin();) {
+    const auto prefix = path.substr(0, *--next);
+    if (!prefix.ends_with('/')) continue;
+    const auto match = routes.indexByPrefix.find(prefix);
     if (match != routes.indexByPrefix.end()) return &routes_[match->second];
-    end = slash;
   }
   return nullptr;
 }
--- a/src/config/route_table.hpp
+++ b/src/config/route_table.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -54,7 +55,7 @@
   // The routes of one host. The keys point into routes_.
   struct HostRoutes {
     std::unordered_map<std::string_view, std::size_t> indexByPrefix;
-    std::size_t longestPrefix = 0;  // in bytes
+    std::set<std::size_t> prefixLengths;  // in bytes
   };
 
   std::optional<DocumentError> readServices(const nlohmann::json& services);
--- a/src/control/config_change.cpp
+++ b/src/control/config_change.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "config/config_update.hpp"
+#include "config/document_parser.hpp"
 #include "config/route_table.hpp"
 
 namespace merlingauge::control {
@@ -58,12 +59,16 @@
                                                             const RegisterValue& current) {
   if (change.kind == ConfigChange::Kind::replace) return change.text;
   if (!current.config) return invalidConfig("there is no configuration to change");
-  const auto updated = config::applyUpdate(json::parse(current.config->text()), *change.document);
+  const auto base = config::parseDocument(current.config->text());
+  if (!base) return invalidConfig("the configuration to change can't be read");
+  const auto updated = config::applyUpdate(*base, *change.document);
   if (updated.error) return invalidConfig(updated.error->message());
   // Each item has passed the schema; the rules between the items are still to be checked.
   const auto parsed = config::RouteTable::parseValidated(updated.config);
   if (parsed.error) return invalidConfig(parsed.error->message());
-  return ConfigText::create(updated.config.dump());
+  auto text = updated.config.dump();
+  if (!config::isWithinDocumentBounds(text)) return invalidConfig("too many items");
+  return ConfigText::create(std::move(text));
 }
 }  // namespace
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "config/config_schema.hpp"
+#include "config/document_parser.hpp"
 
 namespace merlingauge::node {
 
@@ -21,12 +22,6 @@
 
 using Problem = std::optional<SettingsError>;
 
-std::optional<json> parseJson(const std::string& text) {
-  auto document = json::parse(text, nullptr, false);
-  if (document.is_discarded()) return std::nullopt;
-  return document;
-}
-
 Problem checkSchema(const json& document) {
   const auto violation = config::schemaViolation(config::SchemaKind::settings, document);
   if (!violation) return std::nullopt;
@@ -177,7 +172,7 @@
 }
 
 SettingsResult parseSettings(const std::string& text) {
-  const auto document = parseJson(text);
+  const auto document = config::parseDocument(text);
   if (!document) return SettingsError{"", "not JSON"};
   if (auto problem = checkSchema(*document)) return *problem;
   const auto& node = (*document)["self_node"];
--- a/tests/config/long_texts_test.cpp
+++ b/tests/config/long_texts_test.cpp
@@ -6,6 +6,7 @@
 
 #include "base/ipv4_address.hpp"
 #include "config/config_schema.hpp"
+#include "config/document_parser.hpp"
 #include "config/route_table.hpp"
 #include "config/text_rules.hpp"
 
@@ -79,6 +80,34 @@
   EXPECT_EQ(violation->field, "self_node.ip_address");
 }
 
+// Guards against documents that take a hundred times the memory of their text.
+TEST(DocumentBounds, RefuseManySmallValues) {
+  std::string wide = "[0";
+  while (wide.size() < kLongText) wide += ",{}";
+  EXPECT_FALSE(parseDocument(wide + "]"));
+  EXPECT_FALSE(isWithinDocumentBounds(wide + "]"));
+  EXPECT_TRUE(parseDocument("[" + json(std::string(kLongText, ',')).dump() + "]"));
+}
+
+TEST(DocumentBounds, RefuseDeepNesting) {
+  EXPECT_FALSE(parseDocument(std::string(kLongText, '[') + std::string(kLongText, ']')));
+}
+
+// A long prefix beside a path of slashes: the longest prefix is still the one that is found.
+TEST(LongTexts, PathOfManySlashes) {
+  constexpr std::size_t kPathBytes = 60'000;
+  auto configuration = configurationWithPrefix("/" + std::string(kPathBytes, 'a') + "/");
+  configuration["route_rules"].push_back(routeWithPrefix("//"));
+  configuration["route_rules"][1]["name"] = "b";
+  const auto table = RouteTable::parse(configuration).table;
+  ASSERT_TRUE(table);
+  const auto* found = table->findRoute("h", std::string(kPathBytes, '/'));
+  ASSERT_NE(found, nullptr);
+  EXPECT_EQ(found->name, "b");
+  EXPECT_EQ(table->findRoute("h", "/" + std::string(kPathBytes, 'a') + "/x")->name, "a");
+  EXPECT_EQ(table->findRoute("h", "/x"), nullptr);
+}
+
 TEST(TextRules, PathPrefix) {
   for (const char* prefix : {"/", "/a/", "/a/b/", "//"})
     EXPECT_TRUE(isPathPrefix(prefix)) << prefix;
