No address from a message is resolved as a name, and none ends the process

A node's id or an instance's address that is no IPv4 address went to Poco, which resolves it on the event loop, and throws where that fails: in peer calls out of a timer. Peer calls to such an id fail, such an instance is no endpoint. Test: peer_rpc, RecipientThatIsNoAddress.

--- a/src/proxy/endpoint_subset.cpp
+++ b/src/proxy/endpoint_subset.cpp
@@ -1,10 +1,10 @@
 #include "proxy/endpoint_subset.hpp"
 
-#include <Poco/Exception.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "base/ipv4_address.hpp"
+
 namespace merlingauge::proxy {
 
 namespace {
@@ -95,12 +95,9 @@
 
 void EndpointSubset::add(const SelectedInstance& selected, ServiceEndpoints& endpoints) {
   const auto& instance = *selected.instance;
+  if (!isIpv4Endpoint(instance.address)) return;  // nothing can be sent there
   Endpoint endpoint;
-  try {
-    endpoint.address = transport_.address(instance);
-  } catch (const Poco::Exception&) {
-    return;  // no address that anything can be sent to
-  }
+  endpoint.address = transport_.address(instance);
   endpoint.id = instance.id;
   endpoint.connectionOwner = transport_.connectionOwner(instance.id);
   endpoint.slots = instance.capacity;
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/ipv4_address.hpp"
 #include "config/document_parser.hpp"
 #include "http/message_headers.hpp"
 
@@ -79,6 +80,11 @@
 
 void PeerRpc::call(const NodeId& recipient, const std::string& path, const json& message,
                    Duration timeout, ResponseCallback onResponse) {
+  // A node's id comes from other nodes' messages, and so may be no address.
+  if (!isIpv4Address(recipient.str())) {
+    loop_.defer([onResponse = std::move(onResponse)] { onResponse(std::nullopt); });
+    return;
+  }
   const SocketAddress address(recipient.str(), port_);
   HTTPRequest request(HTTPRequest::HTTP_POST, path, HTTPMessage::HTTP_1_1);
   request.set("Host", recipient.str());
--- a/tests/rpc/peer_rpc_test.cpp
+++ b/tests/rpc/peer_rpc_test.cpp
@@ -57,6 +57,24 @@
             std::nullopt);
 }
 
+// Guards against an id from another node's message that ends the process, or holds it up for a name
+// look-up.
+TEST_F(PeerRpcTest, RecipientThatIsNoAddress) {
+  PeerRpc rpc(loop_, 1, invariants_);
+  int failed = 0;
+  const std::string ids[] = {"", "nobody.invalid", "10.0.0.1.2", "10.0.0.1:80",
+                             std::string(std::size_t{1} << 20, '1')};
+  for (const auto& id : ids) {
+    rpc.call(NodeId(id), "/news", json::object(), std::chrono::seconds(5),
+             [&](const std::optional<json>& answer) {
+               EXPECT_FALSE(answer);
+               if (++failed == std::ssize(ids)) loop_.stop();
+             });
+  }
+  loop_.run();
+  EXPECT_EQ(failed, std::ssize(ids));
+}
+
 TEST_F(PeerRpcTest, NoFramingAtAll) {
   EXPECT_EQ(resultOf("HTTP/1.1 200 OK\r\n\r\n{\"a\":1}"), std::nullopt);
   EXPECT_EQ(invariants_->violations(http::ResponseInvariant::nodesFrameResponses), 1U);
