A peer that rests is not taken for a dead one while its kernel acknowledges

Cause: TCP_USER_TIMEOUT (2 s, 0.7 s from an edge to a server) counts time without progress, not without acknowledgements.

Change: while output waits, PeerMonitor looks at the age of the peer's last acknowledgement and raises the option as long as some come; a silent peer is given up. A closing connection waits for a resting reader, shutdown waits until the peers' kernels have acknowledged, and a connection whose reader takes output isn't idle. Without TCP_INFO all is as before.

Resting peers that die are found up to 0.5 s later than before: a live kernel answers probes of a closed window only twice a second.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -44,7 +44,7 @@
   const bool reused = connection != nullptr;
   if (!reused) {
     connection =
-        TcpConnection::connect(loop_, to, options_.connectTimeout, options_.tcpUserTimeout);
+        TcpConnection::connect(loop_, to, options_.connectTimeout, options_.silenceTimeout);
     ++connectionsOpened_;
   }
   exchange->begin(std::move(connection), request, framingKind, reused);
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -35,7 +35,7 @@
     /// The oldest idle connection of an address is closed for one more.
     std::size_t maxIdlePerAddress = 64;
     /// See TcpConnection::connect.
-    std::chrono::milliseconds tcpUserTimeout{0};
+    std::chrono::milliseconds silenceTimeout{0};
     /// Whether the end of the connection may complete an answer. Other nodes always give a length
     /// or chunks: from them such an answer is refused, since their process may have ended half-way.
     bool answersMayEndByClose = true;
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -55,10 +55,10 @@
   });
 }
 
-bool HttpListener::hasUnsentOutput() const {
+bool HttpListener::hasUnacknowledgedOutput() const {
   return context->closingWithOutput > 0 ||
          std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& entry) { return entry.second->hasUnsentOutput(); });
+                     [](const auto& entry) { return entry.second->hasUnacknowledgedOutput(); });
 }
 
 void HttpListener::closeIdleConnections() {
--- a/src/http/http_listener.hpp
+++ b/src/http/http_listener.hpp
@@ -34,7 +34,7 @@
   /// Closes the listening socket; the connections stay.
   void stopAccepting();
   /// Whether a caller is owed bytes that have not left this process.
-  [[nodiscard]] bool hasUnsentOutput() const;
+  [[nodiscard]] bool hasUnacknowledgedOutput() const;
   [[nodiscard]] std::size_t connectionCount() const { return connections_.size(); }
 
  private:
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -54,6 +54,11 @@
 
 void ServerConnection::onTimeout() {
   if (!exchanges_.empty()) return;
+  // The answer is on its way to a caller that reads slowly: the connection isn't idle yet.
+  if (!expectingHead_ && connection_->peerTakesOutputWithin(context_->limits.idleTimeout)) {
+    startTimer(context_->limits.idleTimeout);
+    return;
+  }
   if (connection_->input.empty()) {
     close();
   } else {
@@ -316,7 +321,7 @@
   const auto self = shared_from_this();  // the listener lets go of it in onClosed_
   over_ = true;
   timer_.cancel();
-  if (hasUnsentOutput() && !connection_->isClosed()) {
+  if (hasUnacknowledgedOutput()) {
     ++context_->closingWithOutput;
     connection_->onDrained = [context = context_] { --context->closingWithOutput; };
   }
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -44,7 +44,10 @@
   void start(std::function<void()> onClosed);
   /// Ends the connection now; requests without a complete answer hear onClientGone.
   void close();
-  [[nodiscard]] bool hasUnsentOutput() const { return connection_->unsentBytes() > 0; }
+  /// Output that this process, or its kernel, still has to bring to the caller's machine.
+  [[nodiscard]] bool hasUnacknowledgedOutput() const {
+    return connection_->hasUnacknowledgedOutput();
+  }
   /// No request is running, waiting, or on its way in.
   [[nodiscard]] bool isIdle() const { return exchanges_.empty() && connection_->input.empty(); }
 
--- a/src/http/tcp_connection.cpp
+++ b/src/http/tcp_connection.cpp
@@ -2,9 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,13 +17,15 @@
 constexpr std::size_t kReadChunkBytes = 16384;
 // An output buffer that grew beyond this gives its memory back when it is empty.
 constexpr std::size_t kRetainedOutputBytes = 4 * kReadChunkBytes;
-// A connection that closes is given up once nothing has left it for so long, or so long after
-// everything has.
+// A connection that closes is given up so long after everything is acknowledged. So it is once
+// nothing has left it for so long, where the kernel doesn't tell whether the peer only rests.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
-// However slowly the other side reads.
 constexpr Duration kMaxClosingTime = std::chrono::seconds(10);
-// How often a connection that is to be reset asks the kernel what is still unacknowledged: about a
-// round trip between zones.
+// While the peer's kernel acknowledges: without any progress, and however slowly it reads.
+constexpr Duration kMaxRestWhileClosing = std::chrono::seconds(7);
+constexpr Duration kMaxClosingTimeOfReader = std::chrono::seconds(60);
+// When a connection that closes first asks the kernel what is still unacknowledged: about a round
+// trip between zones.
 constexpr Duration kAcknowledgedCheckInterval = std::chrono::milliseconds(2);
 
 bool isTransient(const Poco::Exception& error) {
@@ -35,8 +34,14 @@
 }  // namespace
 
 TcpConnection::TcpConnection(event::EventLoop& loop, const Poco::Net::StreamSocket& socket,
-                             State state)
-    : loop_(loop), socket_(socket), state_(state), timer_(loop), abortTimer_(loop) {}
+                             State state, std::chrono::milliseconds silenceTimeout)
+    : loop_(loop),
+      socket_(socket),
+      state_(state),
+      peer_(socket, silenceTimeout.count() > 0 ? silenceTimeout : kDefaultSilenceTimeout),
+      peerTimer_(loop),
+      timer_(loop),
+      acknowledgementTimer_(loop) {}
 
 TcpConnection::~TcpConnection() {
   if (state_ != State::closed) loop_.forget(socket_);
@@ -45,7 +50,7 @@
 TcpConnection::Ptr TcpConnection::connect(event::EventLoop& loop,
                                           const Poco::Net::SocketAddress& to,
                                           Duration connectTimeout,
-                                          std::chrono::milliseconds tcpUserTimeout) {
+                                          std::chrono::milliseconds silenceTimeout) {
   Poco::Net::StreamSocket socket;
   bool failed = false;
   try {
@@ -53,12 +58,12 @@
   } catch (const Poco::Exception&) {
     failed = true;
   }
-  Ptr connection(new TcpConnection(loop, socket, State::connecting));
+  Ptr connection(new TcpConnection(loop, socket, State::connecting, silenceTimeout));
   if (failed) {
     loop.defer([connection] { connection->end(EndReason::connectFailed); });
     return connection;
   }
-  connection->attach(tcpUserTimeout);
+  connection->attach();
   connection->timer_.start(connectTimeout, [weak = connection->weak_from_this()] {
     if (const auto self = weak.lock()) self->end(EndReason::connectFailed);
   });
@@ -67,20 +72,19 @@
 
 TcpConnection::Ptr TcpConnection::adopt(event::EventLoop& loop,
                                         const Poco::Net::StreamSocket& socket) {
-  Ptr connection(new TcpConnection(loop, socket, State::open));
-  connection->attach(kDefaultTcpUserTimeout);
+  Ptr connection(new TcpConnection(loop, socket, State::open, kDefaultSilenceTimeout));
+  connection->attach();
   return connection;
 }
 
-void TcpConnection::attach(std::chrono::milliseconds tcpUserTimeout) {
-  if (tcpUserTimeout.count() <= 0) tcpUserTimeout = kDefaultTcpUserTimeout;
+void TcpConnection::attach() {
   try {
     socket_.setBlocking(false);
     socket_.setNoDelay(true);
-    socket_.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(tcpUserTimeout.count()));
   } catch (const Poco::Exception&) {
-    // Without these the connection is slower to notice a peer that is gone, not wrong.
+    // The connection has broken: its end is an error already.
   }
+  peer_.applyTimeout();
   const int mode = state_ == State::connecting ? PollSet::POLL_WRITE | PollSet::POLL_ERROR
                                                : PollSet::POLL_READ | PollSet::POLL_ERROR;
   loop_.watch(socket_, mode, [weak = weak_from_this()](int readyMode) {
@@ -217,39 +221,87 @@
   }
   if (sent > 0) {
     sentBytes_ += static_cast<std::size_t>(sent);
+    peer_.onSent(static_cast<std::size_t>(sent));
     if (state_ == State::closing) startLingerTimer();
+    watchPeer();
   }
   return true;
 }
 
+bool TcpConnection::hasUnacknowledgedOutput() const {
+  if (state_ == State::closed || state_ == State::connecting) return false;
+  return unsentBytes() > 0 || peer_.unacknowledgedBytes().value_or(0) > 0;
+}
+
+bool TcpConnection::peerTakesOutputWithin(Duration span) const {
+  return peerRests_ && loop_.now() - peer_.lastProgressAt() < span && hasUnacknowledgedOutput();
+}
+
+void TcpConnection::watchPeer() {
+  if (peerWatched_) return;
+  peerWatched_ = true;
+  peer_.begin(loop_.now());
+  schedulePeerCheck(peer_.firstCheckAfter());
+}
+
+// At common times for all connections: one wake-up of the loop serves them all.
+void TcpConnection::schedulePeerCheck(Duration wait) {
+  const Duration interval = peer_.checkInterval();
+  const auto due = (loop_.now() + wait).time_since_epoch();
+  const Duration aligned = due + interval - due % interval;
+  peerTimer_.start(aligned - loop_.now().time_since_epoch(), [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->checkPeer();
+  });
+}
+
+void TcpConnection::checkPeer() {
+  const auto verdict = peer_.check(loop_.now());
+  peerRests_ =
+      verdict == PeerMonitor::Verdict::progressing || verdict == PeerMonitor::Verdict::resting;
+  switch (verdict) {
+    case PeerMonitor::Verdict::unknown:
+      return;  // and peerWatched_ stays: no check is worth its cost
+    case PeerMonitor::Verdict::idle:
+      peerWatched_ = false;
+      return;
+    case PeerMonitor::Verdict::gone:
+      end(EndReason::reset);
+      return;
+    case PeerMonitor::Verdict::progressing:
+    case PeerMonitor::Verdict::resting:
+      schedulePeerCheck(peer_.checkInterval());
+      return;
+  }
+}
+
 void TcpConnection::reportDrained() {
   const auto callback = std::exchange(onDrained, nullptr);
   if (callback) callback();
 }
 
 bool TcpConnection::endOutput() {
-  reportDrained();
-  if (abortsAfterFlush_) {
-    abortOnceAcknowledged();
-    return state_ != State::closed;
+  if (!abortsAfterFlush_) {
+    // From here on an orderly end says the truth.
+    setAbortiveClose(false);
+    if (!shutdownSending()) return false;
   }
-  // From here on an orderly end says the truth.
-  setAbortiveClose(false);
-  return shutdownSending();
+  awaitAcknowledgement(kAcknowledgedCheckInterval);
+  return state_ != State::closed;
 }
 
-void TcpConnection::abortOnceAcknowledged() {
-  int unacknowledged = 0;
-  const bool known =
-      ::ioctl(socket_.impl()->sockfd(), TIOCOUTQ, &unacknowledged) == 0;  // NOLINT(*-vararg)
-  if (known && unacknowledged == 0) {
-    close();
+void TcpConnection::awaitAcknowledgement(Duration nextCheckAfter) {
+  const auto unacknowledged = peer_.unacknowledgedBytes();
+  if (unacknowledged.value_or(0) == 0) reportDrained();
+  // A kernel that doesn't tell gets the time until the linger timer.
+  if (!unacknowledged) return;
+  if (*unacknowledged == 0) {
+    if (abortsAfterFlush_) close();
     return;
   }
-  // A kernel that doesn't tell gets the time until the linger timer.
-  if (!known) return;
-  abortTimer_.start(kAcknowledgedCheckInterval, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->abortOnceAcknowledged();
+  acknowledgementTimer_.start(nextCheckAfter, [weak = weak_from_this(), nextCheckAfter] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->awaitAcknowledgement(std::min(2 * nextCheckAfter, self->peer_.checkInterval()));
   });
 }
 
@@ -308,7 +360,19 @@
 
 void TcpConnection::startLingerTimer() {
   const Duration left = closingSince_ + kMaxClosingTime - loop_.now();
-  timer_.start(std::min(kLingerTimeout, left), [self = shared_from_this()] { self->close(); });
+  timer_.start(std::clamp(left, Duration(0), kLingerTimeout),
+               [self = shared_from_this()] { self->onLingerTimeout(); });
+}
+
+void TcpConnection::onLingerTimeout() {
+  const TimePoint now = loop_.now();
+  const bool mayRest = now - peer_.lastProgressAt() < kMaxRestWhileClosing &&
+                       now - closingSince_ < kMaxClosingTimeOfReader;
+  if (!peerRests_ || !mayRest || !hasUnacknowledgedOutput()) {
+    close();
+    return;
+  }
+  timer_.start(kLingerTimeout, [self = shared_from_this()] { self->onLingerTimeout(); });
 }
 
 void TcpConnection::close() {
@@ -316,7 +380,8 @@
   const auto self = shared_from_this();  // the timer's task may hold the last reference
   state_ = State::closed;
   timer_.cancel();
-  abortTimer_.cancel();
+  peerTimer_.cancel();
+  acknowledgementTimer_.cancel();
   loop_.forget(socket_);
   try {
     socket_.close();
--- a/src/http/tcp_connection.hpp
+++ b/src/http/tcp_connection.hpp
@@ -16,14 +16,18 @@
 #include "base/time.hpp"
 #include "event/event_loop.hpp"
 #include "event/timer.hpp"
+#include "http/peer_monitor.hpp"
 
 namespace merlingauge::http {
 
 /// Ownership: whoever uses the connection holds the one lasting reference: a ClientExchange while
 /// it runs, then the ConnectionPool; a ServerConnection for connections accepted. The event loop
 /// refers to it weakly, except behind closeAfterFlush() and abortAfterFlush(), when it keeps the
-/// connection until the output has left or nothing of it has left for kLingerTimeout. The socket is
-/// closed by close() or with the object.
+/// connection until the output is acknowledged, or the other side is gone or has read nothing for
+/// too long. The socket is closed by close() or with the object.
+///
+/// A peer that reads nothing for a while but whose kernel acknowledges is not gone: while output
+/// waits, a PeerMonitor tells the two apart.
 ///
 /// What the peer's kernel reports at the end (tests/http/connection_end_test.cpp): an orderly end
 /// (FIN) after close(), after closeAfterFlush(), and after the end of the process, unless received
@@ -41,11 +45,11 @@
   };
 
   /// A connection that is being opened; onOpen or onEnd tells what becomes of it, never before this
-  /// turn of the loop is over. `tcpUserTimeout`: sent bytes that stay unacknowledged for so long
-  /// end the connection; 0 for the default.
+  /// turn of the loop is over. `silenceTimeout`: a peer whose kernel has acknowledged nothing for
+  /// so long, with output waiting for it, ends the connection; 0 for the default.
   static Ptr connect(event::EventLoop& loop, const Poco::Net::SocketAddress& to,
                      Duration connectTimeout,
-                     std::chrono::milliseconds tcpUserTimeout = kDefaultTcpUserTimeout);
+                     std::chrono::milliseconds silenceTimeout = kDefaultSilenceTimeout);
   /// A connection that was accepted.
   static Ptr adopt(event::EventLoop& loop, const Poco::Net::StreamSocket& socket);
   ~TcpConnection();
@@ -58,8 +62,9 @@
   std::function<void()> onData;          ///< new bytes in `input`
   std::function<void()> onFlushed;       ///< all that was written has left
   std::function<void(EndReason)> onEnd;  ///< once, when it ended without close() of the owner
-  /// Once, behind closeAfterFlush() or abortAfterFlush(): everything written has left this process,
-  /// or was given up. The only one that stays set while the connection is closing.
+  /// Once, behind closeAfterFlush() or abortAfterFlush(): everything written was acknowledged by
+  /// the other side's kernel, or was given up. The only one that stays set while the connection
+  /// closes.
   std::function<void()> onDrained;
 
   /// Received bytes that the owner has not taken yet; the owner erases what it takes.
@@ -90,11 +95,15 @@
   [[nodiscard]] bool isAbortive() const { return abortive_; }
   [[nodiscard]] bool isClosed() const { return state_ == State::closed; }
   [[nodiscard]] std::size_t unsentBytes() const { return output_.size() - sentBytes_; }
+  /// Looks at the socket itself: is there output that the other side's kernel has not acknowledged?
+  [[nodiscard]] bool hasUnacknowledgedOutput() const;
+  /// Is there such output, and has the other side taken some of it in the last `span`?
+  [[nodiscard]] bool peerTakesOutputWithin(Duration span) const;
 
  private:
   /// A kernel that acknowledges nothing for so long is gone with its machine or link: a live one
   /// acknowledges within a round trip, also when the process behind it stands still.
-  static constexpr std::chrono::milliseconds kDefaultTcpUserTimeout{2000};
+  static constexpr std::chrono::milliseconds kDefaultSilenceTimeout{2000};
 
   enum class State : std::uint8_t {
     connecting,  ///< the kernel is connecting
@@ -103,8 +112,9 @@
     closed,      ///< the socket is closed
   };
 
-  TcpConnection(event::EventLoop& loop, const Poco::Net::StreamSocket& socket, State state);
-  void attach(std::chrono::milliseconds tcpUserTimeout);
+  TcpConnection(event::EventLoop& loop, const Poco::Net::StreamSocket& socket, State state,
+                std::chrono::milliseconds silenceTimeout);
+  void attach();
   void onReady(int mode);
   void finishConnect(int mode);
   void readAvailable();
@@ -115,9 +125,16 @@
   void beginClosing();
   /// A closing connection with nothing left to send ends, by FIN or by RST.
   bool endOutput();
-  void abortOnceAcknowledged();
+  /// Of a closing connection, once everything has left this process: looks again until everything
+  /// is acknowledged.
+  void awaitAcknowledgement(Duration nextCheckAfter);
   void reportDrained();
   void startLingerTimer();
+  void onLingerTimeout();
+  /// Output was handed to the kernel: looks after the peer until it is acknowledged.
+  void watchPeer();
+  void schedulePeerCheck(Duration wait);
+  void checkPeer();
   /// The result of a one-byte look into the socket: below 0 where nothing has come, 0 for an
   /// orderly end; nullopt where the connection is broken.
   std::optional<int> peek();
@@ -138,9 +155,13 @@
   bool broken_ = false;            // a look at the socket has taken its error
   bool abortive_ = false;          // the socket's option, as set by setAbortiveClose()
   bool abortsAfterFlush_ = false;  // only in State::closing
+  bool peerRests_ = false;         // and is not gone, by the last check
+  bool peerWatched_ = false;       // a check is due
   TimePoint closingSince_;
-  event::Timer timer_;       // of the connect, later of the linger
-  event::Timer abortTimer_;  // looks whether everything is acknowledged
+  PeerMonitor peer_;
+  event::Timer peerTimer_;             // of the next check of the peer
+  event::Timer timer_;                 // of the connect, later of the linger
+  event::Timer acknowledgementTimer_;  // of awaitAcknowledgement()
 };
 
 }  // namespace merlingauge::http
--- a/src/node/graceful_shutdown.cpp
+++ b/src/node/graceful_shutdown.cpp
@@ -37,7 +37,8 @@
   const Duration elapsed = loop_.now() - *lifecycle_.shutdownSince();
   const bool accepting = participants_.egress != nullptr && elapsed < kAcceptWhileDraining;
   // The response of a request that is over may still wait for a slow reader.
-  const bool idle = requestsInFlight() == 0 && !participants_.listeners.hasUnsentResponses();
+  const bool idle =
+      requestsInFlight() == 0 && !participants_.listeners.hasUnacknowledgedResponses();
   if (!accepting) rejectNewRequests();
   const Duration limit = std::max(Duration(0), settings_.gracePeriod - kExitMargin);
   const bool done = idle && !accepting && elapsed > kFlushTime && hasHandedOver(elapsed);
--- a/src/node/listeners.cpp
+++ b/src/node/listeners.cpp
@@ -106,8 +106,9 @@
   return listeners;
 }
 
-bool Listeners::hasUnsentResponses() const {
-  return (egress_ && egress_->hasUnsentOutput()) || (ingress_ && ingress_->hasUnsentOutput());
+bool Listeners::hasUnacknowledgedResponses() const {
+  return (egress_ && egress_->hasUnacknowledgedOutput()) ||
+         (ingress_ && ingress_->hasUnacknowledgedOutput());
 }
 
 void Listeners::applyClientLimits(const config::ClientLimits& limits) {
--- a/src/node/listeners.hpp
+++ b/src/node/listeners.hpp
@@ -43,7 +43,7 @@
   /// Those that are open, by the names of their metrics.
   [[nodiscard]] std::vector<std::pair<const char*, const http::HttpListener*>> opened() const;
   /// Whether a caller or another node is owed bytes of a response that have not left this process.
-  [[nodiscard]] bool hasUnsentResponses() const;
+  [[nodiscard]] bool hasUnacknowledgedResponses() const;
   /// Limits for callers, from the configuration.
   void applyClientLimits(const config::ClientLimits& limits);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,7 +77,7 @@
   if (settings.isGateway()) {
     options.idleTimeout = kEdgeIdleKeptFor;
     options.maxIdlePerAddress = kEdgeIdleKeptPerAddress;
-    options.tcpUserTimeout = kMachineGoneAfter;
+    options.silenceTimeout = kMachineGoneAfter;
   } else {
     options.idleTimeout = kIdleKeptFor;
     options.maxIdlePerAddress = kIdleKeptPerAddress;
--- a/tests/loopback/proxy_path.cpp
+++ b/tests/loopback/proxy_path.cpp
@@ -68,7 +68,7 @@
   if (gateway) {
     options.idleTimeout = std::chrono::seconds(9);
     options.maxIdlePerAddress = 8;
-    options.tcpUserTimeout = std::chrono::milliseconds(700);
+    options.silenceTimeout = std::chrono::milliseconds(700);
   }
   return options;
 }
