A caller of the control API that ends its output still gets its answer

Found by the mesh test once a sidecar's acknowledgement took a round trip: a caller that ends its output behind the request (half-close) was taken for gone, so an answer that wasn't ready at once never reached it.

Change: on the control listener the end of a caller's output keeps the connection until the answers that are owed have left.

--- a/src/http/listener_context.hpp
+++ b/src/http/listener_context.hpp
@@ -47,6 +47,9 @@
   std::size_t closingWithOutput = 0;
   /// Graceful shutdown: the last answer of each connection carries `Connection: close`.
   bool draining = false;
+  /// A caller that ends its output behind a whole request still gets its answer. Unset: it counts
+  /// as gone, and its request as cancelled.
+  bool answersAfterHalfClose = false;
   /// A request whose turn it is, as soon as its head is there. The receiver keeps the exchange, or
   /// answers it at once.
   std::function<void(const std::shared_ptr<ServerExchange>&)> onExchange;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -38,9 +38,21 @@
   connection_->onEnd = [weak = weak_from_this()](TcpConnection::EndReason) {
     if (const auto self = weak.lock()) self->close();
   };
+  if (context_->answersAfterHalfClose) {
+    connection_->onInputEnd = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      return self && self->onInputEnd();
+    };
+  }
   expectHead();
 }
 
+bool ServerConnection::onInputEnd() {
+  if (exchanges_.empty() || !exchanges_.back()->bodyComplete) return false;
+  exchanges_.back()->closeAfterResponse_ = true;
+  return true;
+}
+
 void ServerConnection::expectHead() {
   expectingHead_ = true;
   startTimer(context_->limits.headerTimeout);
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -78,6 +78,8 @@
   };
 
   void advance();
+  /// The caller has ended its output: whether it is still owed answers.
+  [[nodiscard]] bool onInputEnd();
   /// False where the input holds no further request for now, or the last one was rejected.
   bool beginExchange();
   /// Bytes of the head at the front of the input; nullopt where it is incomplete or was rejected.
--- a/src/http/tcp_connection.cpp
+++ b/src/http/tcp_connection.cpp
@@ -96,7 +96,8 @@
   if (state_ == State::closed) return;
   int mode = PollSet::POLL_ERROR;
   if (state_ == State::connecting || unsentBytes() > 0) mode |= PollSet::POLL_WRITE;
-  if (state_ == State::closing || (state_ == State::open && readingEnabled_)) {
+  const bool mayRead = state_ == State::closing || (state_ == State::open && readingEnabled_);
+  if (mayRead && !inputEnded_) {
     mode |= PollSet::POLL_READ;
   }
   loop_.change(socket_, mode);
@@ -144,6 +145,11 @@
   }
   if (received < 0) return;
   if (received == 0) {
+    if (!broken_ && state_ == State::open && onInputEnd && onInputEnd()) {
+      inputEnded_ = true;
+      updateInterest();
+      return;
+    }
     end(broken_ ? EndReason::reset : EndReason::closed);
     return;
   }
@@ -393,11 +399,11 @@
 }
 
 void TcpConnection::releaseCallbacks() {
-  if (!onOpen && !onData && !onFlushed && !onEnd) return;
+  if (!onOpen && !onData && !onFlushed && !onEnd && !onInputEnd) return;
   // One of them may be running now.
   loop_.defer([open = std::exchange(onOpen, nullptr), data = std::exchange(onData, nullptr),
-               flushed = std::exchange(onFlushed, nullptr),
-               end = std::exchange(onEnd, nullptr)] {});
+               flushed = std::exchange(onFlushed, nullptr), end = std::exchange(onEnd, nullptr),
+               inputEnd = std::exchange(onInputEnd, nullptr)] {});
 }
 
 void TcpConnection::end(EndReason reason) {
--- a/src/http/tcp_connection.hpp
+++ b/src/http/tcp_connection.hpp
@@ -62,6 +62,9 @@
   std::function<void()> onData;          ///< new bytes in `input`
   std::function<void()> onFlushed;       ///< all that was written has left
   std::function<void(EndReason)> onEnd;  ///< once, when it ended without close() of the owner
+  /// Once, where set, when the other side has ended its output: true keeps the connection for what
+  /// it is still to be sent (TCP half-close). Otherwise, and by default, that ends the connection.
+  std::function<bool()> onInputEnd;
   /// Once, behind closeAfterFlush() or abortAfterFlush(): everything written was acknowledged by
   /// the other side's kernel, or was given up. The only one that stays set while the connection
   /// closes.
@@ -152,6 +155,7 @@
   bool readingEnabled_ = true;
   bool flushScheduled_ = false;
   bool sendingShutDown_ = false;
+  bool inputEnded_ = false;        // onInputEnd has kept the connection
   bool broken_ = false;            // a look at the socket has taken its error
   bool abortive_ = false;          // the socket's option, as set by setAbortiveClose()
   bool abortsAfterFlush_ = false;  // only in State::closing
--- a/src/node/listeners.cpp
+++ b/src/node/listeners.cpp
@@ -75,7 +75,10 @@
   };
   readiness_ = open(settings.readinessAddress, kReadinessConnections, serve);
   control_ = open(settings.controlAddress, connectionBudget_ / 3, serve);
-  if (control_) control_->context->limits.maxBodyBytes = kMaxControlBodyBytes;
+  if (!control_) return;
+  control_->context->limits.maxBodyBytes = kMaxControlBodyBytes;
+  // An acknowledgement is owed however its caller ends its request.
+  control_->context->answersAfterHalfClose = true;
 }
 
 void Listeners::openPeerListener(const Settings& settings, PeerEndpoint& peerEndpoint) {
