--- a/src/config/schema_texts.cpp
+++ b/src/config/schema_texts.cpp
@@ -20,7 +20,8 @@
    "data_directory":{"type":["string","null"]},
    "app_address":{"type":"string"},"target_service":{"type":"string"},
    "limits":{"type":"object","properties":{"file_descriptors":{"type":"number","minimum":64},
-     "memory_mb":{"type":"number","minimum":16},"disk_mb":{"type":"number","minimum":0}}}}},
+     "memory_mb":{"type":"number","minimum":16},"disk_mb":{"type":"number","minimum":0},
+     "cpu_share":{"type":"number","minimum":0},"cpu_cores":{"type":"number","minimum":0}}}}},
  "network":{"type":"object","required":["listeners","internal_port_range","seed_nodes"],
   "properties":{
    "listeners":{"type":"object","additionalProperties":{"type":"string"}},
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <sstream>
 
+#include "base/ipv4_address.hpp"
 #include "config/config_schema.hpp"
 #include "config/document_parser.hpp"
 
@@ -126,7 +127,10 @@
 Problem readSeeds(const json& network, Settings& settings) {
   for (const auto& seed : network["seed_nodes"]) {
     const auto address = seed.get<std::string>();
-    if (auto problem = checkAddress("network.seed_nodes", address)) return problem;
+    // A seed is a node like others: known by its address, never by a name.
+    if (!isIpv4Endpoint(address)) {
+      return SettingsError{"network.seed_nodes", "not an address with a port: " + address};
+    }
     settings.seeds.emplace_back(address.substr(0, address.find(':')));
   }
   return std::nullopt;
@@ -171,12 +175,11 @@
   return address;
 }
 
-SettingsResult parseSettings(const std::string& text) {
-  const auto document = config::parseDocument(text);
-  if (!document) return SettingsError{"", "not JSON"};
-  if (auto problem = checkSchema(*document)) return *problem;
-  const auto& node = (*document)["self_node"];
-  const auto& network = (*document)["network"];
+namespace {
+// A document that fits the schema.
+SettingsResult readSettings(const json& document) {
+  const auto& node = document["self_node"];
+  const auto& network = document["network"];
   Settings settings;
   readSelfNode(node, settings);
   readListeners(network["listeners"], settings);
@@ -184,9 +187,22 @@
   readPorts(network, settings);
   if (auto problem = checkRole(node, settings)) return *problem;
   if (auto problem = readSeeds(network, settings)) return *problem;
-  readPolicies(*document, settings);
+  readPolicies(document, settings);
   return settings;
 }
+}  // namespace
+
+SettingsResult parseSettings(const std::string& text) {
+  const auto document = config::parseDocument(text);
+  if (!document) return SettingsError{"", "not JSON"};
+  if (auto problem = checkSchema(*document)) return *problem;
+  try {
+    return readSettings(*document);
+  } catch (const json::exception& error) {
+    // A field that the schema doesn't name has another type than the one it is read as.
+    return SettingsError{"", error.what()};
+  }
+}
 
 SettingsResult loadSettings(const std::string& path) {
   if (path.empty()) return SettingsError{"", "MERLINGAUGE_SETTINGS is not set"};
