A store's first record counts once the names of its files are on the disk

A first commit that failed between its record and the sync of the folder left the names unsynced, and the next commit, which found the record file there, was acknowledged without them (review, read in the code); a failed sync of the parent folder was not seen at all. Names are synced with the first commit of each process and whenever files were removed, and a commit fails without. No test of its own: a folder whose sync fails can't be made without a file system that fails; the storage scenarios pass.

--- a/src/storage/state_database.cpp
+++ b/src/storage/state_database.cpp
@@ -90,9 +90,10 @@
   return environment_.open(directory_, mapBytes_);
 }
 
-void StateDatabase::createDirectory() const {
-  const bool created = ::mkdir(directory_.c_str(), kOwnerOnlyDirectory) == 0;
-  if (created) syncDirectory(directory_.substr(0, directory_.rfind('/')));
+void StateDatabase::createDirectory() const { ::mkdir(directory_.c_str(), kOwnerOnlyDirectory); }
+
+bool StateDatabase::syncNames() const {
+  return syncDirectory(directory_) && syncDirectory(directory_.substr(0, directory_.rfind('/')));
 }
 
 MetaPageRepair StateDatabase::repair() {
@@ -106,6 +107,7 @@
   ::unlink(pathOf(kDataFile).c_str());
   ::unlink(pathOf(kCommitRecordFile).c_str());
   syncDirectory(directory_);
+  namesSynced_ = false;
   storedTextId_ = kUnknownText;
 }
 
@@ -133,11 +135,11 @@
     record.metaPageHashes.at(index) = stableHash(pages->at(index));
   }
   record.newestMetaPage = lastTransactionId % kMetaPages;
-  const auto path = pathOf(kCommitRecordFile);
-  const bool created = !isNonEmptyFile(path);
-  if (auto error = writeCommitRecord(path, record)) return error;
-  // The data file may be new in the directory too.
-  if (created && !syncDirectory(directory_)) return systemError(StorageOperation::sync);
+  if (auto error = writeCommitRecord(pathOf(kCommitRecordFile), record)) return error;
+  // Both files and the directory may be new, and an earlier process or an earlier commit may have
+  // failed before it had synced their names.
+  if (!namesSynced_ && !syncNames()) return systemError(StorageOperation::sync);
+  namesSynced_ = true;
   lastCommitNumber_ = record.number;
   return std::nullopt;
 }
--- a/src/storage/state_database.hpp
+++ b/src/storage/state_database.hpp
@@ -24,6 +24,8 @@
 
   /// Creates the directory if it is missing. Where that fails, opening the files in it reports it.
   void createDirectory() const;
+  /// Flushes the names of the files and of the directory itself; false where that failed.
+  [[nodiscard]] bool syncNames() const;
   /// What was saved. Files that can't be read are removed, so that the store can be used again.
   [[nodiscard]] LoadResult load();
   /// Writes and flushes the state and its commit record. After an error nothing of it counts, and
@@ -43,7 +45,8 @@
   std::string directory_;
   std::size_t mapBytes_;
   LmdbEnvironment environment_;
-  std::uint64_t storedTextId_;          // of the text on the disk; kUnknownText after (re)opening
+  std::uint64_t storedTextId_;  // of the text on the disk; kUnknownText after (re)opening
+  bool namesSynced_ = false;    // since this object is there, and since files were last removed
   std::uint64_t lastCommitNumber_ = 0;  // of the newest commit record seen or written; only rises
 };
 
