--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -38,8 +38,9 @@
   [[maybe_unused]] const auto written = ::write(wakeDescriptor, &byte, 1);
 }
 
-void installSignalHandlers(event::EventLoop& loop) {
-  wakeDescriptor = loop.wakeDescriptor();
+// Before the settings are read: a signal that comes while the node is built is handled with the
+// first turn of the loop.
+void installSignalHandlers() {
   std::signal(SIGTERM, onSignal);
   std::signal(SIGINT, onSignal);
   std::signal(SIGHUP, onSignal);
@@ -74,7 +75,7 @@
 
 void runUntilStopped(node::Settings settings, const std::string& settingsPath) {
   event::EventLoop loop;
-  installSignalHandlers(loop);
+  wakeDescriptor = loop.wakeDescriptor();
   node::Node node(loop, std::move(settings), settingsPath);
   loop.setTurnHook([&node] { handlePendingSignals(node); });
   node.start();
@@ -90,6 +91,7 @@
   const auto metrics = readMetricsAddress(options.metricsAddress);
   const char* variable = std::getenv("MERLINGAUGE_SETTINGS");
   const std::string path = variable == nullptr ? "" : variable;
+  installSignalHandlers();
   auto loaded = node::loadSettings(path);
   if (const auto* error = std::get_if<node::SettingsError>(&loaded)) {
     std::cerr << "merlingauge: " << error->message() << "\n";
