Heads may have what max_header_bytes allows, and each hop what the one before took

A caller may send 1,000 fields (431 beyond), since finding fields takes time by the square of their number; nodes take 16 fields and 2,048 bytes more from each other. Test: header_passing, at both tiers, failed with the limits before.

--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -17,10 +17,6 @@
 using Poco::Net::HTTPResponse;
 
 namespace {
-// What a node takes from a server or another node. Larger than a caller may send, since the heads
-// of answers carry the headers between nodes beside the server's own.
-constexpr std::size_t kMaxResponseHeadBytes = 65536;
-
 // What ends a body that is complete by its own framing.
 MessageEnd endByFraming(FramingKind framing) {
   switch (framing) {
@@ -124,14 +120,17 @@
 }
 
 bool ClientExchange::readHead() {
-  const auto found = findHead(connection_->input, kMaxResponseHeadBytes);
+  const auto limits = pool_.responseLimits();
+  const auto found = findHead(connection_->input, limits.maxHeadBytes);
   if (found.result == HeadParseResult::incomplete) return false;
   if (found.result != HeadParseResult::complete) {
     fail(Failure::invalidResponse, MessageEnd::malformed);
     return false;
   }
+  const std::string_view head(connection_->input.data(), found.size);
   HTTPResponse response;
-  const auto framing = parseHead(std::string_view(connection_->input.data(), found.size), response);
+  const auto framing =
+      countFieldLines(head) > limits.maxHeaderFields ? std::nullopt : parseHead(head, response);
   if (!framing) {
     fail(Failure::invalidResponse, MessageEnd::malformed);
     return false;
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -26,6 +26,15 @@
   return accepted;
 }
 
+ConnectionPool::ResponseLimits ConnectionPool::responseLimits() const {
+  ResponseLimits limits;
+  if (options_.answersAreOfNodes) {
+    limits.maxHeadBytes += kMaxHeadBytesOfNodes;
+    limits.maxHeaderFields += kMaxFieldsOfNodes;
+  }
+  return limits;
+}
+
 bool ConnectionPool::acceptsRequestHead(bool writable, const std::string& attemptId) const {
   if (!writable && options_.invariants) {
     options_.invariants->recordViolation(ResponseInvariant::headIsWritable, "request " + attemptId);
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -17,6 +17,7 @@
 #include "event/timer.hpp"
 #include "http/body_framing.hpp"
 #include "http/client_exchange.hpp"
+#include "http/message_head.hpp"
 #include "http/response_invariants.hpp"
 #include "http/tcp_connection.hpp"
 
@@ -39,6 +40,8 @@
     /// Whether the end of the connection may complete an answer. Other nodes always give a length
     /// or chunks: from them such an answer is refused, since their process may have ended half-way.
     bool answersMayEndByClose = true;
+    /// The answers come from other nodes, which add to the heads that they have taken.
+    bool answersAreOfNodes = false;
     /// Counts such refusals; may be null.
     std::shared_ptr<ResponseInvariantCounters> invariants;
   };
@@ -46,6 +49,12 @@
   ConnectionPool(event::EventLoop& loop, Options options);
   /// Whether an answer with this framing is taken, by `answersMayEndByClose`.
   [[nodiscard]] bool acceptsFraming(const BodyFraming& framing, const std::string& attemptId) const;
+  /// What a head of an answer may have.
+  struct ResponseLimits {
+    std::size_t maxHeadBytes = 65536;
+    std::size_t maxHeaderFields = kMaxHeaderFields;
+  };
+  [[nodiscard]] ResponseLimits responseLimits() const;
   /// Whether a request may be sent whose head is writable or not (serializeHead). Counts a refusal.
   [[nodiscard]] bool acceptsRequestHead(bool writable, const std::string& attemptId) const;
 
--- a/src/http/listener_context.hpp
+++ b/src/http/listener_context.hpp
@@ -8,6 +8,7 @@
 
 #include "base/errors.hpp"
 #include "base/time.hpp"
+#include "http/message_head.hpp"
 #include "http/response_invariants.hpp"
 
 namespace merlingauge::http {
@@ -26,6 +27,7 @@
 struct ConnectionLimits {
   /// Of a request's head. The defaults are what an operator gets who configures none.
   std::size_t maxHeadBytes = 16384;
+  std::size_t maxHeaderFields = kMaxHeaderFields;
   /// Of a request's body.
   std::uint64_t maxBodyBytes = 64ULL << 20;
   /// From the first byte of a head (of the first one: from the connection) to its last.
--- a/src/http/message_head.cpp
+++ b/src/http/message_head.cpp
@@ -14,8 +14,6 @@
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kLineEnd = "\r\n";
-// Far more than any known client or server sends; bounds the work for one head.
-constexpr std::size_t kMaxHeaderFields = 200;
 
 // The lines of a complete head, one after the other, without their line ends.
 class HeadLines {
@@ -75,11 +73,9 @@
 // Takes the fields over as their bytes are: a value that is decoded on the way in could have line
 // ends on the way out, and a head that was one would be read as two.
 bool parseFields(HeadLines& lines, FieldCounts& counts, HTTPMessage& message) {
-  std::size_t fields = 0;
   while (const auto line = lines.next()) {
     const auto field = parseFieldLine(*line);
     if (!field || !countField(*field, counts)) return false;
-    if (++fields > kMaxHeaderFields) return false;
     message.add(std::string(field->name), std::string(field->value));
   }
   return true;
@@ -132,6 +128,16 @@
   return {HeadParseResult::incomplete};
 }
 
+std::size_t countFieldLines(std::string_view head) {
+  std::size_t lines = 0;
+  for (auto at = head.find(kLineEnd); at != std::string_view::npos;
+       at = head.find(kLineEnd, at + kLineEnd.size())) {
+    ++lines;
+  }
+  constexpr std::size_t kOtherLines = 2;  // the first one and the blank one
+  return lines < kOtherLines ? 0 : lines - kOtherLines;
+}
+
 std::optional<BodyFraming> parseRequestHead(std::string_view head, HTTPRequest& request) {
   if (!head.ends_with(kHeadEnd)) return std::nullopt;
   HeadLines lines(head);
--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -22,6 +22,14 @@
   malformed,   ///< can't become a head any more
 };
 
+/// Fields of a caller's head. Of a configured number of bytes a head may have many more small
+/// fields; finding and copying them takes time by the square of their number.
+inline constexpr std::size_t kMaxHeaderFields = 1000;
+/// Fields and bytes that nodes add to a head between them: whatever one node takes from outside,
+/// the next one on its way takes too.
+inline constexpr std::size_t kMaxFieldsOfNodes = 16;
+inline constexpr std::size_t kMaxHeadBytesOfNodes = 2048;
+
 /// What findHead sees at the front of a byte stream.
 struct HeadSearch {
   HeadParseResult result = HeadParseResult::incomplete;
@@ -31,6 +39,9 @@
 /// Looks for a head of at most `maxBytes` at the front of `bytes`.
 HeadSearch findHead(std::string_view bytes, std::size_t maxBytes);
 
+/// How many field lines a complete head has.
+std::size_t countFieldLines(std::string_view head);
+
 /// Parses a complete head into `request` and returns the framing of its body. nullopt where it is
 /// malformed, or two readers could see two different messages in it (two lengths, a length beside
 /// a transfer coding, no host).
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -204,6 +204,10 @@
 
 ServerExchange::Ptr ServerConnection::parseExchange(std::size_t headSize) {
   const std::string_view head(connection_->input.data(), headSize);
+  if (countFieldLines(head) > context_->limits.maxHeaderFields) {
+    reject(ErrorKind::headersTooLarge);
+    return nullptr;
+  }
   auto exchange = std::make_shared<ServerExchange>();
   const auto framing = parseRequestHead(head, exchange->request);
   if (!framing) {
--- a/src/node/listeners.cpp
+++ b/src/node/listeners.cpp
@@ -24,8 +24,13 @@
 constexpr std::size_t kMinPeerConnections = 256;
 // A message between nodes may carry a whole configuration and the state of the registry beside it.
 constexpr std::uint64_t kMaxPeerBodyBytes = 2 * Listeners::kMaxControlBodyBytes;
+// Before a configuration is in force here, the egress of another node may have one.
+constexpr std::size_t kMinIngressHeadBytes = 128 * 1024;
+
 // The head that the egress sends is the caller's and the headers between nodes.
-constexpr std::size_t kMaxIngressHeadBytes = 128 * 1024;
+std::size_t maxIngressHeadBytes(std::size_t maxCallerHeadBytes) {
+  return std::max(kMinIngressHeadBytes, maxCallerHeadBytes + http::kMaxHeadBytesOfNodes);
+}
 }  // namespace
 
 Listeners::Listeners(event::EventLoop& loop, const Settings& settings,
@@ -66,7 +71,10 @@
   auto* ingress = handlers.ingress;
   ingress_ = open(settings.ingressAddress, connectionBudget_ / 3,
                   [ingress](const ServerExchange::Ptr& exchange) { ingress->handle(exchange); });
-  if (ingress_) ingress_->context->limits.maxHeadBytes = kMaxIngressHeadBytes;
+  if (!ingress_) return;
+  auto& limits = ingress_->context->limits;
+  limits.maxHeadBytes = maxIngressHeadBytes(limits.maxHeadBytes);
+  limits.maxHeaderFields += http::kMaxFieldsOfNodes;
 }
 
 void Listeners::openControlListeners(const Settings& settings, control::ControlApi& controlApi) {
@@ -115,6 +123,9 @@
 }
 
 void Listeners::applyClientLimits(const config::ClientLimits& limits) {
+  if (ingress_) {
+    ingress_->context->limits.maxHeadBytes = maxIngressHeadBytes(limits.maxHeadBytes);
+  }
   if (!egress_) return;
   auto& own = egress_->context->limits;
   own.maxHeadBytes = limits.maxHeadBytes;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -82,6 +82,7 @@
     options.idleTimeout = kIdleKeptFor;
     options.maxIdlePerAddress = kIdleKeptPerAddress;
     options.answersMayEndByClose = false;  // an ingress frames every answer
+    options.answersAreOfNodes = true;
   }
   return options;
 }
--- a/tests/loopback/header_passing_test.cpp
+++ b/tests/loopback/header_passing_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "http/message_head.hpp"
 #include "loopback/proxy_path.hpp"
 #include "loopback/scripted_client.hpp"
 
@@ -59,6 +60,8 @@
     for (const auto& violation : ledger_.violations) ADD_FAILURE() << violation.text();
   }
 
+  int status() { return ledger_.statuses["asked"]; }
+
   std::string receivedRequestValue;
   std::string receivedResponseValue;
 
@@ -97,6 +100,32 @@
   EXPECT_EQ(play.receivedResponseValue, kHiddenBody);
 }
 
+// Guards against a limit of a parser's own below max_header_bytes (a value of 8,192 bytes, 200
+// fields), and against one that the next node on the way counts otherwise.
+TEST_P(HeaderPassing, OneLongValuePasses) {
+  const std::string value(15'000, 'v');
+  auto& play = newPlay(GetParam());
+  play.run("/once/short", value, value);
+  play.expectOneRun();
+  EXPECT_EQ(play.receivedRequestValue, value);
+  EXPECT_EQ(play.receivedResponseValue, value);
+}
+
+TEST_P(HeaderPassing, AsManyFieldsAsACallerMaySendPass) {
+  constexpr std::size_t kOwnFields = 5;  // of the request, Notice-Text included
+  const auto fields = [](std::size_t count) {
+    std::string lines = "first";
+    for (std::size_t i = 0; i < count; ++i) lines += "\r\nF" + std::to_string(i) + ": v";
+    return lines;
+  };
+  auto& play = newPlay(GetParam());
+  play.run("/once/short", fields(http::kMaxHeaderFields - kOwnFields), "plain");
+  play.expectOneRun();
+  auto& beyond = newPlay(GetParam());
+  beyond.run("/once/short", fields(http::kMaxHeaderFields - kOwnFields + 1), "plain");
+  EXPECT_EQ(beyond.status(), 431);
+}
+
 INSTANTIATE_TEST_SUITE_P(Tiers, HeaderPassing, testing::Values(false, true),
                          [](const auto& tier) { return tier.param ? "Gateway" : "Mesh"; });
 
--- a/tests/loopback/proxy_path.cpp
+++ b/tests/loopback/proxy_path.cpp
@@ -65,6 +65,7 @@
   options.invariants = invariants;
   options.connectTimeout = std::chrono::milliseconds(300);
   options.answersMayEndByClose = gateway;
+  options.answersAreOfNodes = !gateway;
   if (gateway) {
     options.idleTimeout = std::chrono::seconds(9);
     options.maxIdlePerAddress = 8;
@@ -185,6 +186,7 @@
     ingress->handle(exchange);
   };
   side.listener->context->limits.maxHeadBytes = 128 * 1024;
+  side.listener->context->limits.maxHeaderFields += http::kMaxFieldsOfNodes;
   if (!isLinked) return;
   // Who takes the address over is the node beside the other server.
   link_({at(number, kIngressPort), behindLink, at(1 - number, kIngressPortBehindLink)}, number);
