--- a/tests/loopback/test_messages.cpp
+++ b/tests/loopback/test_messages.cpp
@@ -91,8 +91,8 @@
                       const std::string& extraHeaders) {
   const auto body = requestBody(id);
   return "POST " + path + " HTTP/1.1\r\nHost: echo.example\r\nAttempt-Id: " + id + "\r\n" +
-         extraHeaders + "Deadline-Ms: 1500\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
+         extraHeaders + "Deadline-Ms: 1500\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 std::string responseTo(const std::string& id, bool isLong) {
--- a/tests/loopback/test_messages.hpp
+++ b/tests/loopback/test_messages.hpp
@@ -47,8 +47,8 @@
 
 std::string requestBody(const std::string& id);
 std::string responseBody(const std::string& id, bool isLong);
-/// The request with this Attempt-Id, as bytes on the wire. `extraHeaders`: field lines, each with its
-/// line end.
+/// The request with this Attempt-Id, as bytes on the wire. `extraHeaders`: field lines, each with
+/// its line end.
 std::string requestTo(const std::string& path, const std::string& id,
                       const std::string& extraHeaders = "");
 /// The correct response to the request with this Attempt-Id, as bytes on the wire.
