A store that lost its data file takes saves again

Commit records beside a lost data file made the store load as empty and refuse every save (docs/ROADMAP.md): such a voter never voted again. It is damaged now: the records are removed, the other voters are read, and saves count. Test: durable_store, IsDamagedWithoutItsDataFileAndTakesSavesAgain.

--- a/src/storage/state_database.cpp
+++ b/src/storage/state_database.cpp
@@ -36,7 +36,7 @@
 }
 
 LoadResult StateDatabase::load() {
-  if (!isNonEmptyFile(pathOf(kDataFile))) return NothingStored{};
+  if (!isNonEmptyFile(pathOf(kDataFile))) return loadWithoutDataFile();
   const auto repaired = repair();
   if (repaired.state == DataFileState::neverCommitted) return NothingStored{};
   if (repaired.error) {
@@ -47,6 +47,13 @@
   return readState();
 }
 
+// Commit records that outlive their data file would refuse every later one.
+LoadResult StateDatabase::loadWithoutDataFile() {
+  if (readCommitRecords(pathOf(kCommitRecordFile)).empty()) return NothingStored{};
+  removeFiles();
+  return StorageError{StorageOperation::read, "the data file is missing"};
+}
+
 LoadResult StateDatabase::readState() {
   std::optional<std::string> head;
   std::optional<std::string> text;
--- a/src/storage/state_database.hpp
+++ b/src/storage/state_database.hpp
@@ -23,6 +23,7 @@
   StateDatabase(std::string directory, std::size_t mapBytes);
 
   /// Creates the directory if it is missing. Where that fails, opening the files in it reports it.
+  LoadResult loadWithoutDataFile();
   void createDirectory() const;
   /// Flushes the names of the files and of the directory itself; false where that failed.
   [[nodiscard]] bool syncNames() const;
--- a/tests/storage/durable_store_test.cpp
+++ b/tests/storage/durable_store_test.cpp
@@ -10,6 +10,8 @@
 #include <variant>
 #include <vector>
 
+#include "storage/store_layout.hpp"
+
 namespace merlingauge::storage {
 namespace {
 
@@ -117,6 +119,36 @@
   EXPECT_FALSE(next);
 }
 
+// Guards against a store that loads as empty beside commit records of a lost file, and refuses
+// every save because of them.
+TEST_F(DurableStoreTest, IsDamagedWithoutItsDataFileAndTakesSavesAgain) {
+  const auto save = [this](DurableStore& store, const std::string& head) {
+    StorageResult result;
+    store.start();
+    store.save(record(head), [&](const StorageResult& error) {
+      result = error;
+      loop_.stop();
+    });
+    loop_.run();
+    return result;
+  };
+  {
+    DurableStore store(loop_, directory(), kMapBytes);
+    EXPECT_FALSE(save(store, "one"));
+  }
+  fs::remove(fs::path(directory()) / kDataFile);
+  {
+    DurableStore store(loop_, directory(), kMapBytes);
+    EXPECT_TRUE(std::holds_alternative<StorageError>(store.load()));
+    EXPECT_FALSE(save(store, "two"));
+  }
+  DurableStore store(loop_, directory(), kMapBytes);
+  const auto loaded = store.load();
+  const auto* state = std::get_if<StoredState>(&loaded);
+  ASSERT_TRUE(state);
+  EXPECT_EQ(state->head, "two");
+}
+
 TEST_F(DurableStoreTest, MarksItsDirectoryAsInUse) {
   {
     DurableStore store(loop_, directory(), kMapBytes);
