--- a/src/control/acceptor_host.cpp
+++ b/src/control/acceptor_host.cpp
@@ -39,6 +39,13 @@
   }
   return std::nullopt;
 }
+
+// What a disk without a state that can be read looks like, for the log.
+std::string describeLoss(const storage::LoadResult& loaded) {
+  if (std::holds_alternative<storage::NothingStored>(loaded)) return "empty disk";
+  const auto* error = std::get_if<storage::StorageError>(&loaded);
+  return error == nullptr ? "damaged disk" : "damaged disk (" + error->message() + ")";
+}
 }  // namespace
 
 Acceptor AcceptorHost::loadAcceptor(const RegisterServiceOptions& options,
@@ -59,8 +66,7 @@
     logger().information("first start, empty state");
     return Acceptor(options.self, consensus::firstIncarnation(random()), true);
   }
-  logger().warning(std::string(damaged ? "damaged disk" : "empty disk") +
-                   ", the other voters are read before voting");
+  logger().warning(describeLoss(loaded) + ", the other voters are read before voting");
   return Acceptor(options.self, consensus::nextIncarnation(Incarnation{}, random()), false);
 }
 
