--- a/tests/loopback/hostile_input_test.cpp
+++ b/tests/loopback/hostile_input_test.cpp
@@ -29,7 +29,8 @@
 }
 
 std::string someRequest(const std::string& id, Random& random) {
-  const auto head = "Host: echo.example\r\nDeadline-Ms: 900\r\nAttempt-Id: " + id + "\r\n";
+  const auto head = "Host: echo.example\r\nDeadline-Ms: 900\r\nAttempt-Id: " + id +
+                    "\r\nComment: =?utf-8?Q?a=0D=0A=0D=0APOST_/once/short_HTTP/1.1=0D=0A?=\r\n";
   const auto inside = requestTo("/once/short", "x-smuggled");
   switch (below(random, 6)) {
     case 0:
--- a/tests/simulation/gossip/deregistration_checker.cpp
+++ b/tests/simulation/gossip/deregistration_checker.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr double kPollMs = 2;
+constexpr double kReplicationTimeoutMs = 800;
 // Above every heartbeat of the instance that came before.
 constexpr std::uint64_t kLastHeartbeat = 1000;
 }  // namespace
@@ -19,7 +20,24 @@
   draining.status = Instance::Status::draining;
   node.registry->handleHeartbeat(draining, clock_.now());
   node.gossip->notifyUpdate();
-  awaitReplicas(node, node.run, instance, replicas, killMs);
+  if (node.isControlNode) {
+    awaitReplicas(node, node.run, instance, replicas, killMs);
+  } else {
+    replicate(node, node.run, instance, replicas, killMs);
+  }
+}
+
+void DeregistrationChecker::replicate(SimulatedNode& node, int run, const InstanceId& instance,
+                                      std::size_t replicas, double killMs) {
+  if (node.run != run) return;
+  node.gossip->replicate(instance, replicas, fromMillis(kReplicationTimeoutMs),
+                         [this, &node, run, instance, replicas, killMs](bool replicated) {
+                           if (replicated) {
+                             acknowledge(node, instance, killMs);
+                           } else {
+                             replicate(node, run, instance, replicas, killMs);
+                           }
+                         });
 }
 
 void DeregistrationChecker::awaitReplicas(SimulatedNode& node, int run, const InstanceId& instance,
@@ -33,6 +51,11 @@
     });
     return;
   }
+  acknowledge(node, instance, killMs);
+}
+
+void DeregistrationChecker::acknowledge(SimulatedNode& node, const InstanceId& instance,
+                                        double killMs) {
   acknowledgedAtMs_[instance] = clock_.ms();
   if (killMs <= 0) return;
   fleet_.kill(node);
--- a/tests/simulation/gossip/deregistration_checker.hpp
+++ b/tests/simulation/gossip/deregistration_checker.hpp
@@ -14,8 +14,9 @@
   DeregistrationChecker(const Scenario& scenario, Clock& clock, Fleet& fleet)
       : scenario_(scenario), clock_(clock), fleet_(fleet) {}
 
-  /// The node hears that an instance drains. Once `replicas` other control nodes hold the update it
-  /// is acknowledged, and the node is lost for `killMs` (0: it is not lost).
+  /// The node hears that an instance drains. Once `replicas` other control nodes hold the update,
+  /// by their pulls at a control node and by replication requests of any other, it is acknowledged,
+  /// and the node is lost for `killMs` (0: it is not lost).
   void drain(SimulatedNode& node, const InstanceId& instance, std::size_t replicas, double killMs);
   /// Nobody who has been up for a while may take an instance for available whose draining was
   /// acknowledged.
@@ -26,6 +27,10 @@
   void awaitReplicas(SimulatedNode& node, int run, const InstanceId& instance, std::size_t replicas,
                      double killMs);
 
+  void replicate(SimulatedNode& node, int run, const InstanceId& instance, std::size_t replicas,
+                 double killMs);
+  void acknowledge(SimulatedNode& node, const InstanceId& instance, double killMs);
+
   const Scenario& scenario_;
   Clock& clock_;
   Fleet& fleet_;
