--- a/src/http/peer_monitor.cpp
+++ b/src/http/peer_monitor.cpp
@@ -49,7 +49,8 @@
   silentChecks_ = isSilent(*acknowledgements, now) ? silentChecks_ + 1 : 0;
   if (silentChecks_ >= kSilentChecksOfGone) return Verdict::gone;
   raiseTimeout(*acknowledgements, now);
-  return progresses ? Verdict::progressing : Verdict::resting;
+  if (progresses) return Verdict::progressing;
+  return acknowledgements->windowClosed ? Verdict::resting : Verdict::waiting;
 }
 
 // The kernel counts from the first probe of a closed window, and at times goes on with that count
@@ -59,7 +60,8 @@
   if (!restsSince_) {
     const Duration stalledFor = now - stalledSince_;
     // Without an acknowledgement since the stall began nothing proves that the peer only rests.
-    if (acknowledgements.age >= stalledFor || stalledFor + margin <= timeout_) return;
+    if (!acknowledgements.windowClosed || acknowledgements.age >= stalledFor) return;
+    if (stalledFor + margin <= timeout_) return;
     restsSince_ = stalledSince_;
   }
   setUserTimeout(std::max(now - *restsSince_ + margin, timeout_));
@@ -87,7 +89,8 @@
   // A kernel that fills nothing in tells no state.
   if (size < sizeof info || info.tcpi_state == 0) return std::nullopt;
   return Acknowledgements{std::chrono::milliseconds(info.tcpi_last_ack_recv),
-                          info.tcpi_unacked > 0 || info.tcpi_probes > 0};
+                          info.tcpi_unacked > 0 || info.tcpi_probes > 0,
+                          info.tcpi_unacked == 0 || info.tcpi_retransmits > 0};
 }
 
 void PeerMonitor::setUserTimeout(Duration timeout) {
--- a/src/http/peer_monitor.hpp
+++ b/src/http/peer_monitor.hpp
@@ -31,7 +31,8 @@
   enum class Verdict : std::uint8_t {
     idle,         ///< everything is acknowledged
     progressing,  ///< output waits, and some has been acknowledged since the last check
-    resting,      ///< none has, and the peer's kernel still acknowledges
+    resting,      ///< none has: the peer's window is closed, and its kernel still acknowledges
+    waiting,      ///< none has: it is on its way, as far as this kernel knows
     gone,         ///< none has, and the peer's kernel is silent
     unknown,      ///< this kernel doesn't tell: the option alone decides
   };
@@ -57,8 +58,9 @@
 
   /// What the kernel knows of the peer's acknowledgements.
   struct Acknowledgements {
-    Duration age{};        ///< of the last one, whatever it acknowledged
-    bool awaited = false;  ///< data or a probe of the window is unanswered
+    Duration age{};             ///< of the last one, whatever it acknowledged
+    bool awaited = false;       ///< data or a probe of the window is unanswered
+    bool windowClosed = false;  ///< output waits though nothing new may be on its way
   };
   [[nodiscard]] std::optional<Acknowledgements> readAcknowledgements() const;
   [[nodiscard]] bool isSilent(const Acknowledgements& acknowledgements, TimePoint now) const;
--- a/src/http/tcp_connection.cpp
+++ b/src/http/tcp_connection.cpp
@@ -275,6 +275,7 @@
       return;
     case PeerMonitor::Verdict::progressing:
     case PeerMonitor::Verdict::resting:
+    case PeerMonitor::Verdict::waiting:
       schedulePeerCheck(peer_.checkInterval());
       return;
   }
