--- a/tests/http/message_head_test.cpp
+++ b/tests/http/message_head_test.cpp
@@ -18,8 +18,10 @@
 // Guards against review cases 1 and 2: a value that was decoded between the check and the write.
 TEST(RequestHead, IsWrittenAsItCame) {
   for (const std::string value : kEncodedLineEnds) {
-    const std::string head = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nNotice-Text: " + value +
-                             "\r\nAttempt-Id: " + value + "\r\nContent-Length: 2\r\n\r\n";
+    std::string head = "POST /a?b=c HTTP/1.1\r\nHost: h\r\n";
+    head.append("Notice-Text: ").append(value).append("\r\n");
+    head.append("Attempt-Id: ").append(value).append("\r\n");
+    head.append("Content-Length: 2\r\n\r\n");
     HTTPRequest request;
     const auto framing = parseRequestHead(head, request);
     ASSERT_TRUE(framing) << head;
@@ -32,8 +34,11 @@
 // The same towards the client (review, "More of the same": MIXED at a gateway).
 TEST(ResponseHead, IsWrittenAsItCame) {
   for (const std::string value : kEncodedLineEnds) {
-    const std::string head = "HTTP/1.1 200 " + value + "\r\nNotice-Text: " + value +
-                             "\r\nResponse-Seal: " + value + "\r\nContent-Length: 2\r\n\r\n";
+    std::string head = "HTTP/1.1 200 ";
+    head.append(value).append("\r\n");
+    head.append("Notice-Text: ").append(value).append("\r\n");
+    head.append("Response-Seal: ").append(value).append("\r\n");
+    head.append("Content-Length: 2\r\n\r\n");
     HTTPResponse response;
     const auto framing = parseResponseHead(head, false, response);
     ASSERT_TRUE(framing) << head;
