--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -44,8 +44,9 @@
   } catch (const Poco::Exception&) {
     return;
   }
-  // Closed with the socket object: the number is bounded, and the caller sees it at once.
-  if (connections_.size() >= maxConnections_) return;
+  // Closed with the socket object: the number is bounded, and the caller sees it at once. Those
+  // that close but wait for a slow reader hold a descriptor too.
+  if (connections_.size() + context->closingWithOutput >= maxConnections_) return;
   auto connection =
       std::make_shared<ServerConnection>(loop_, TcpConnection::adopt(loop_, socket), context);
   auto* const key = connection.get();
