Spans of time that come from numbers are bounded, so no sum with a time overflows

A header_timeout_s or idle_timeout_s of 1e300 is valid by the schema and overflowed in fromSeconds: on arm64 a sum with a time wrapped round, on x86-64 the span itself was negative, so each time-out was over before it began. The same for closedFor of gossip items and Deadline-Ms between nodes.

fromSeconds and fromMillis bound what they make to 100 years either way; every span that comes from a document or a message is made by them.

--- a/src/base/time.hpp
+++ b/src/base/time.hpp
@@ -2,6 +2,7 @@
 // event loop and the simulation hand the current time in.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -21,12 +22,18 @@
 using Duration = MonotonicClock::duration;
 using TimePoint = MonotonicClock::time_point;
 
-inline Duration fromSeconds(double seconds) {
-  return Duration(static_cast<std::int64_t>(seconds * 1e6));
-}
-inline Duration fromMillis(double milliseconds) {
-  return Duration(static_cast<std::int64_t>(milliseconds * 1e3));
+/// The longest span that is made of a number, 100 years in microseconds: a sum of some of them and of
+/// a time still fits.
+inline constexpr double kLongestSpanMicros = 100.0 * 365 * 24 * 3600 * 1e6;
+
+/// A span of so many microseconds. Numbers come from documents and messages too: what is beyond
+/// kLongestSpanMicros counts as that.
+inline Duration fromMicros(double microseconds) {
+  const double bounded = std::clamp(microseconds, -kLongestSpanMicros, kLongestSpanMicros);
+  return Duration(static_cast<std::int64_t>(bounded));
 }
+inline Duration fromSeconds(double seconds) { return fromMicros(seconds * 1e6); }
+inline Duration fromMillis(double milliseconds) { return fromMicros(milliseconds * 1e3); }
 inline double toSeconds(Duration duration) { return static_cast<double>(duration.count()) / 1e6; }
 inline double toMillis(Duration duration) { return static_cast<double>(duration.count()) / 1e3; }
 
