The idle time of a new connection is absent instead of negative

No change of behaviour; http, proxy, mesh, connection_end, client_exchange and node tests pass (release).

--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -80,8 +80,8 @@
   }
   /// Whether the connection is up, so that bytes may have reached the server.
   [[nodiscard]] bool maybeSent() const { return maybeSent_; }
-  /// How long the connection had been idle before this exchange; negative for a new one.
-  [[nodiscard]] Duration connectionIdleTime() const { return connectionIdleTime_; }
+  /// How long the connection had been idle before this exchange; nothing for a new one.
+  [[nodiscard]] std::optional<Duration> connectionIdleTime() const { return connectionIdleTime_; }
 
  private:
   friend class ConnectionPool;  // makes and begins it
@@ -124,7 +124,7 @@
   bool serverKeepsAlive_ = true;
   bool over_ = false;
   std::optional<Duration> keepAliveTimeout_;  // as the server announces it
-  Duration connectionIdleTime_{-1};
+  std::optional<Duration> connectionIdleTime_;
 };
 
 }  // namespace merlingauge::http
--- a/src/proxy/egress_request.cpp
+++ b/src/proxy/egress_request.cpp
@@ -271,7 +271,7 @@
 void EgressRequest::onAttemptFailed(const AttemptPtr& attempt, ClientExchange::Failure failure) {
   using Failure = ClientExchange::Failure;
   const TimePoint now = egress_.loop.now();
-  const Duration idleTime = attempt->exchange->connectionIdleTime();
+  const auto idleTime = attempt->exchange->connectionIdleTime();
   discard(attempt);
   stopCounting(*attempt);
   learnFromFailure(egress_.idleTimeouts, service_, idleTime, failure, now);
--- a/src/proxy/exchange_relay.cpp
+++ b/src/proxy/exchange_relay.cpp
@@ -67,11 +67,10 @@
 }
 
 void learnFromFailure(http::IdleTimeoutEstimator& idleTimeouts, const ServiceName& service,
-                      Duration idleTime, Failure failure, TimePoint now) {
-  const bool wasReused = idleTime >= Duration(0);
-  if (!wasReused) return;
+                      std::optional<Duration> idleTime, Failure failure, TimePoint now) {
+  if (!idleTime) return;
   if (failure == Failure::staleConnection) {
-    idleTimeouts.onStaleConnection(service, idleTime, now);
+    idleTimeouts.onStaleConnection(service, *idleTime, now);
   } else if (failure == Failure::invalidResponse) {
     idleTimeouts.onOutOfStep(service, now);
   }
--- a/src/proxy/exchange_relay.hpp
+++ b/src/proxy/exchange_relay.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -61,8 +62,9 @@
 /// one had been closed. (That is no proof that the request was not read.)
 bool countsAgainstInstance(http::ClientExchange::Failure failure);
 /// Lets the estimate of trustworthy idle times learn from a failed exchange of `service`.
-/// `idleTime`: of its connection before the exchange; negative for a new connection.
+/// `idleTime`: of its connection before the exchange; nothing for a new connection.
 void learnFromFailure(http::IdleTimeoutEstimator& idleTimeouts, const ServiceName& service,
-                      Duration idleTime, http::ClientExchange::Failure failure, TimePoint now);
+                      std::optional<Duration> idleTime, http::ClientExchange::Failure failure,
+                      TimePoint now);
 
 }  // namespace merlingauge::proxy
--- a/src/proxy/ingress_request.cpp
+++ b/src/proxy/ingress_request.cpp
@@ -233,7 +233,7 @@
 
 void IngressRequest::onUpstreamFailed(ClientExchange::Failure failure) {
   const TimePoint now = ingress_.loop.now();
-  const Duration idleTime = upstream_ ? upstream_->connectionIdleTime() : kNoIdleConnection;
+  const auto idleTime = upstream_ ? upstream_->connectionIdleTime() : std::nullopt;
   if (upstream_) recordResponse();
   upstream_ = nullptr;
   learnFromFailure(ingress_.idleTimeouts, kOnlyService, idleTime, failure, now);
