--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -15,6 +15,11 @@
 //       a request whose connection has closed.
 //       A beat's answer may name another address for the later ones (`heartbeat_target`). SIGUSR1: it
 //       beats no more, and serves on.
+//       `Size-Bytes` of a request says how long its answer is. BREAK_EACH=N in the environment: it cuts
+//       off each N-th answer to such a request half-way and ends the connection.
+//   standin-2 pipelined EGRESS HOST LONG-PATH SHORT-PATH COUNT PREFIX RECORD
+//       A client: on COUNT connections, one after the other, a first GET request, and once that is
+//       answered two at once: one for 200000 bytes and, behind it, a short one.
 //   standin-2 leave HOST:PORT ID RECORD PID...
 //       The leaving of server ID, told to this control node. Once that is acknowledged, these
 //       processes are killed at once. Exit 0: acknowledged.
@@ -267,6 +272,8 @@
     bool abandoned = false;  // nothing more is read or answered here
     bool busy = false;       // a request of it is at work or queued
     std::string reading;     // the request whose body is being read
+    std::string output;      // not sent yet
+    bool ending = false;     // closed once the output has left
   };
   struct Run {
     std::list<Connection>::iterator connection;
@@ -316,7 +323,8 @@
     std::vector<std::list<Connection>::iterator> order;
     for (auto one = connections_.begin(); one != connections_.end(); ++one) {
       // Of an abandoned connection only the reset is noticed: nothing of it is read.
-      waits.push_back({one->fd, static_cast<short>(one->abandoned ? 0 : POLLIN), 0});
+      const int events = (one->abandoned ? 0 : POLLIN) | (one->output.empty() ? 0 : POLLOUT);
+      waits.push_back({one->fd, static_cast<short>(events), 0});
       order.push_back(one);
     }
     poll(waits.data(), waits.size(), 20);
@@ -325,7 +333,7 @@
       if (fd >= 0) {
         const int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        connections_.push_back({fd, "", false, false, ""});
+        connections_.push_back({fd, "", false, false, "", "", false});
       }
     }
     for (std::size_t next = 0; next < order.size(); ++next) {
@@ -333,9 +341,13 @@
       if (events == 0) continue;
       if (order[next]->abandoned && (events & (POLLERR | POLLHUP)) != 0) {
         drop(order[next]);
-      } else {
-        onReady(order[next]);
+        continue;
+      }
+      if ((events & POLLOUT) != 0 && !flush(*order[next])) {
+        drop(order[next]);
+        continue;
       }
+      if ((events & (POLLIN | POLLERR | POLLHUP)) != 0) onReady(order[next]);
     }
     advanceRuns();
   }
@@ -435,9 +447,23 @@
     const auto id = header(run->head, "Attempt-Id");
     admitted_.erase(id);
     if (!run->connected) return;
-    run->connection->busy = false;
-    respond(*run->connection, status, id, sealed ? "Response-Seal: seal-" + id + "\r\n" : "",
-            sealed ? "done " + id + "\n" : "");
+    auto& to = *run->connection;
+    to.busy = false;
+    std::string body = sealed ? "done " + id + "\n" : "";
+    const std::size_t size = std::strtoul(header(run->head, "Size-Bytes").c_str(), nullptr, 10);
+    if (sealed && size > body.size()) body.resize(size, 'a');
+    const bool breaksOff = sealed && size > 0 && breakEach_ > 0 && ++answers_ % breakEach_ == 0;
+    if (!breaksOff) {
+      respond(to, status, id, sealed ? "Response-Seal: seal-" + id + "\r\n" : "", body);
+      return;
+    }
+    // In trouble: the answer is cut off half-way, and the connection ends.
+    record_.line("server: " + id_ + " cuts its answer to " + id + " off");
+    to.output += "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: seal-" + id +
+                 "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                 body.substr(0, body.size() / 2);
+    to.ending = true;
+    if (to.output.empty() || !flush(to)) shutdown(to.fd, SHUT_RDWR);
   }
 
   void respond(Connection& to, const std::string& status, const std::string& id,
@@ -445,7 +471,18 @@
     std::string text = "HTTP/1.1 " + status + "\r\n";
     if (!id.empty()) text += "Attempt-Id: " + id + "\r\n";
     text += more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    [[maybe_unused]] const auto sent = send(to.fd, text.data(), text.size(), MSG_NOSIGNAL);
+    to.output += text;
+    flush(to);
+  }
+
+  // False where the connection is to be dropped.
+  bool flush(Connection& to) {
+    while (!to.output.empty()) {
+      const auto count = send(to.fd, to.output.data(), to.output.size(), MSG_NOSIGNAL);
+      if (count <= 0) return errno == EAGAIN;
+      to.output.erase(0, static_cast<std::size_t>(count));
+    }
+    return !to.ending;
   }
 
   std::string address_;
@@ -462,8 +499,72 @@
   std::list<Run> runs_;
   std::map<std::string, bool> admitted_;  // read in, queued or at work, by Attempt-Id
   int working_ = 0;
+  int breakEach_ = std::getenv("BREAK_EACH") ? std::atoi(std::getenv("BREAK_EACH")) : 0;
+  int answers_ = 0;
 };
 
+// Reads one answer off the front of `got`; receives more until `end`.
+Answer nextAnswer(int fd, std::string& got, Clock::time_point end) {
+  Answer answer;
+  for (;;) {
+    const auto head = got.find("\r\n\r\n");
+    if (head != std::string::npos) {
+      const auto length = std::strtoul(
+          header(got.substr(0, head + 2), "Content-Length").c_str(), nullptr, 10);
+      if (got.size() >= head + 4 + length) {
+        answer.status = std::atoi(got.c_str() + got.find(' ') + 1);
+        answer.body = got.substr(head + 4, length);
+        got.erase(0, head + 4 + length);
+        return answer;
+      }
+    }
+    const double left = std::chrono::duration<double>(end - Clock::now()).count();
+    pollfd wait{fd, POLLIN, 0};
+    if (left <= 0 || poll(&wait, 1, static_cast<int>(left * 1000) + 1) <= 0) return answer;
+    char chunk[65536];
+    const auto count = recv(fd, chunk, sizeof chunk, 0);
+    if (count == 0 || (count < 0 && errno != EAGAIN)) return answer;
+    if (count > 0) got.append(chunk, static_cast<std::size_t>(count));
+  }
+}
+
+// A connection that has had an answer, and then two requests at once: a long answer, and a short one.
+int pipelined(const std::vector<std::string>& words) {
+  Record record(words[6]);
+  const int count = std::atoi(words[4].c_str());
+  const auto get = [&](const std::string& path, const std::string& id, int size) {
+    return "GET " + path + id + " HTTP/1.1\r\nHost: " + words[1] + "\r\nAttempt-Id: " + id +
+           "\r\nDeadline-Ms: 2000\r\nWork-Ms: 10\r\n" +
+           (size > 0 ? "Size-Bytes: " + std::to_string(size) + "\r\n" : "") + "\r\n";
+  };
+  const auto sendAll = [](int fd, const std::string& text) {
+    return send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+  };
+  for (int turn = 1; turn <= count; ++turn) {
+    const std::string name = words[5] + "-" + std::to_string(turn);
+    const int fd = connectTo(words[0], 1.0);
+    if (fd < 0) continue;
+    const auto end = Clock::now() + std::chrono::seconds(3);
+    std::string got;
+    sendAll(fd, get(words[3], name + "-first", 0));
+    const auto first = nextAnswer(fd, got, end);
+    if (first.status == 200) {
+      sendAll(fd, get(words[2], name + "-long", 200000) + get(words[3], name + "-short", 0));
+      const auto longOne = nextAnswer(fd, got, end);
+      const auto shortOne = longOne.status == 0 ? Answer{} : nextAnswer(fd, got, end);
+      if (longOne.status != 200 || shortOne.status != 200) {
+        record.line("client: " + name + ": long " + std::to_string(longOne.status) + ", short " +
+                    (shortOne.status == 0 ? "no answer, the connection has ended"
+                                          : std::to_string(shortOne.status)));
+      }
+    } else {
+      record.line("client: " + name + ": first " + std::to_string(first.status));
+    }
+    close(fd);
+  }
+  return 0;
+}
+
 int leave(const std::vector<std::string>& words) {
   Record record(words[2]);
   const auto answer = call(words[0],
@@ -538,9 +639,10 @@
   if (verb == "read" && words.size() == 2) return readBack(words);
   if (verb == "up" && words.size() >= 2) return up(words);
   if (verb == "serve" && words.size() == 7) return Server(words).run();
+  if (verb == "pipelined" && words.size() == 7) return pipelined(words);
   if (verb == "leave" && words.size() >= 3) return leave(words);
   if (verb == "load" && words.size() == 7) return load(words);
   if (verb == "request" && words.size() == 10) return request(words);
-  std::cerr << "standin-2: order | read | up | serve | leave | load | request, see the source\n";
+  std::cerr << "standin-2: order | read | up | serve | leave | load | pipelined | request, see the source\n";
   return 2;
 }
