--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -556,6 +556,9 @@
         record.line("client: " + name + ": long " + std::to_string(longOne.status) + ", short " +
                     (shortOne.status == 0 ? "no answer, the connection has ended"
                                           : std::to_string(shortOne.status)));
+      } else {
+        record.line("client: " + name + ": long 200, " + std::to_string(longOne.body.size()) +
+                    " bytes, short 200");
       }
     } else {
       record.line("client: " + name + ": first " + std::to_string(first.status));
@@ -571,13 +574,17 @@
                            "POST /v1/Instances.Deregister/" + words[1] + " HTTP/1.1\r\nHost: " +
                                words[0] + "\r\nContent-Length: 0\r\n\r\n",
                            1.0);
+  const double answeredAt = elapsed();
   if (answer.status == 200) {
     for (std::size_t next = 3; next < words.size(); ++next) {
       kill(std::atoi(words[next].c_str()), SIGKILL);
     }
   }
   record.line("server: " + words[1] + " tells " + words[0] + " that it leaves: " +
-              std::to_string(answer.status) + (words.size() > 3 ? ", the core is killed" : ""));
+              std::to_string(answer.status) + (words.size() > 3 ? ", the core is killed " +
+                                      std::to_string(static_cast<int>(
+                                          (elapsed() - answeredAt) * 1e6)) + " us later"
+                                : ""));
   return answer.status == 200 ? 0 : 1;
 }
 
@@ -595,12 +602,9 @@
                                  "\r\nAttempt-Id: " + id +
                                  "\r\nDeadline-Ms: 1500\r\nWork-Ms: 20\r\n\r\n",
                              2.0);
-    if (answer.status == 200) {
-      ++served;
-    } else {
-      record.line("client: " + id + ": " + std::to_string(answer.status) + " " +
-                  withoutLineEnd(answer.body));
-    }
+    if (answer.status == 200) ++served;
+    record.line("client: sent " + id + " to " + words[0] + ": " + std::to_string(answer.status) +
+                " " + withoutLineEnd(answer.body));
   }
   record.line("client: " + words[5] + ": " + std::to_string(served) + " of " +
               std::to_string(sent) + " served");
